Lay out the workspace, the protocols and the design

Ruled out: the tools in the workspace, because buf raises the protobuf version of every module. Conclusion: base for the thin path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# The modules of the workspace; ./tools is outside of it.
+MODULES := $(shell go list -m -f '{{.Dir}}' | sed 's|.*/||')
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+TOOL := GOWORK=off go -C tools build -o ../bin/
+
+.PHONY: all bench build check demo fmt generate lint test tidy tools
+
+all: build
+
+# bench runs the measurements of the decisions against their baselines.
+bench: build
+	bin/loadtool bench
+
+build:
+	@mkdir -p bin
+	go build -o bin/amaranthdock ./proxy
+	go build -o bin/ ./amaranthctl ./loadtool ./standin
+
+# check is what CI runs.
+check: lint test
+
+# demo starts a small deployment, runs work on it and ends by itself.
+demo: build
+	bin/loadtool demo --bin bin
+
+fmt:
+	gofmt -w $(MODULES)
+
+# generate makes the protobuf and connect-go code again.
+generate: tools
+	cd api && PATH="$(CURDIR)/bin:$$PATH" buf generate
+
+lint: tools
+	@unformatted=$$(gofmt -l $(MODULES)); test -z "$$unformatted" || { echo "gofmt: $$unformatted"; exit 1; }
+	go vet $(PACKAGES)
+	bin/staticcheck $(PACKAGES)
+	bin/revive -config revive.toml -set_exit_status $(PACKAGES)
+
+test:
+	go test -timeout 8m $(PACKAGES)
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOFLAGS=-mod=mod GOWORK=off go mod tidy) || exit 1; done
+
+tools: bin/staticcheck bin/revive bin/buf
+
+bin/%:
+	@mkdir -p bin
+	GOWORK=off go -C tools build -o ../bin/ tool
--- /dev/null
+++ b/amaranthctl/main.go
@@ -0,0 +1,4 @@
+// Command amaranthctl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,2 @@
+// Package client is not built yet.
+package client
--- /dev/null
+++ b/decision/logpos/logpos.go
@@ -0,0 +1,55 @@
+// Package logpos compares positions in the logs of a database's members.
+package logpos
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Position is the term and index of a log entry. Index counts entries from 1 and
+// goes on over changes of term. The zero Position is before every entry.
+type Position struct {
+	Term  uint64
+	Index uint64
+}
+
+// Compare orders positions by term, then by index.
+func (p Position) Compare(other Position) int {
+	if c := cmp.Compare(p.Term, other.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Index, other.Index)
+}
+
+// Covers tells whether a log that ends at p holds the durable entry at required.
+// The term goes first: a member cut off in an older term may hold a longer,
+// divergent log.
+func (p Position) Covers(required Position) bool {
+	return p.Compare(required) >= 0
+}
+
+// IsZero tells whether p is before every entry.
+func (p Position) IsZero() bool {
+	return p == Position{}
+}
+
+// String returns "term/index".
+func (p Position) String() string {
+	return fmt.Sprintf("%d/%d", p.Term, p.Index)
+}
+
+// Max returns the later of two positions.
+func Max(a, b Position) Position {
+	if a.Compare(b) >= 0 {
+		return a
+	}
+	return b
+}
+
+// Min returns the earlier of two positions.
+func Min(a, b Position) Position {
+	if a.Compare(b) <= 0 {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/decision/refusal/refusal.go
@@ -0,0 +1,115 @@
+// Package refusal holds the typed error that crosses the boundaries of the parts.
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Outcome is what is known of a request's effect.
+type Outcome int
+
+// The outcomes. NotRun is only given on proof that the request had no effect.
+const (
+	Done Outcome = iota + 1
+	NotRun
+	Unknown
+)
+
+// String returns the outcome in camel case.
+func (o Outcome) String() string {
+	switch o {
+	case Done:
+		return "done"
+	case NotRun:
+		return "notRun"
+	case Unknown:
+		return "unknown"
+	default:
+		return "unspecified"
+	}
+}
+
+// Reason is a stable camelCase word that names the cause of a refusal.
+type Reason string
+
+// The reasons.
+const (
+	AccessMismatch      Reason = "accessMismatch"
+	ConfigurationStale  Reason = "configurationStale"
+	ConnectionLost      Reason = "connectionLost"
+	DeadlineExceeded    Reason = "deadlineExceeded"
+	DeadlineTooShort    Reason = "deadlineTooShort"
+	EndpointLeaving     Reason = "endpointLeaving"
+	Internal            Reason = "internal"
+	InvalidRequest      Reason = "invalidRequest"
+	KeyUnknown          Reason = "keyUnknown"
+	KeyRevoked          Reason = "keyRevoked"
+	NoPrimary           Reason = "noPrimary"
+	NotAllowed          Reason = "notAllowed"
+	NotHome             Reason = "notHome"
+	NotPrimary          Reason = "notPrimary"
+	NotReady            Reason = "notReady"
+	Overloaded          Reason = "overloaded"
+	QueueTimeout        Reason = "queueTimeout"
+	RateExceeded        Reason = "rateExceeded"
+	ReplicaBehind       Reason = "replicaBehind"
+	ReplicationStalled  Reason = "replicationStalled"
+	SessionTokenInvalid Reason = "sessionTokenInvalid"
+	StatementFailed     Reason = "statementFailed"
+	TransactionConflict Reason = "transactionConflict"
+	TransactionUnknown  Reason = "transactionUnknown"
+	Unreachable         Reason = "unreachable"
+	VersionConflict     Reason = "versionConflict"
+)
+
+// Error is a refusal: what is known of the effect, and why.
+type Error struct {
+	Outcome Outcome
+	Reason  Reason
+	// Message is a short sentence for people.
+	Message string
+	// Field names the field or header at fault; empty if none is.
+	Field string
+	// RetryAfter is the earliest useful time for another try; 0 if unknown.
+	RetryAfter time.Duration
+}
+
+// Error returns the reason, the outcome and the message.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Outcome, e.Message)
+}
+
+// As returns the refusal in the chain of err, if there is one.
+func As(err error) (*Error, bool) {
+	var refused *Error
+	if errors.As(err, &refused) {
+		return refused, true
+	}
+	return nil, false
+}
+
+// IsNotRun tells whether err carries proof that the request had no effect.
+func IsNotRun(err error) bool {
+	refused, ok := As(err)
+	return ok && refused.Outcome == NotRun
+}
+
+// NewNotRun returns a refusal with proof of no effect.
+func NewNotRun(reason Reason, message string) *Error {
+	return &Error{
+		Outcome: NotRun,
+		Reason:  reason,
+		Message: message,
+	}
+}
+
+// NewUnknown returns a refusal without proof.
+func NewUnknown(reason Reason, message string) *Error {
+	return &Error{
+		Outcome: Unknown,
+		Reason:  reason,
+		Message: message,
+	}
+}
--- /dev/null
+++ b/loadtool/main.go
@@ -0,0 +1,4 @@
+// Command loadtool is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/observe/doc.go
@@ -0,0 +1,2 @@
+// Package observe is not built yet.
+package observe
--- /dev/null
+++ b/proxy/main.go
@@ -0,0 +1,4 @@
+// Command proxy is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings is not built yet.
+package settings
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/timer/manual_test.go
@@ -0,0 +1,61 @@
+package timer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/timer"
+)
+
+func TestTimer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "timer")
+}
+
+// expectTick guards against ticks that are delivered early, late or twice.
+func expectTick(subscription timer.Subscription, due bool) {
+	GinkgoHelper()
+	if due {
+		Expect(subscription.C()).To(Receive())
+	}
+	Expect(subscription.C()).NotTo(Receive())
+}
+
+var _ = Describe("Manual", func() {
+	var clock *timer.Manual
+
+	BeforeEach(func() {
+		clock = timer.NewManual(timer.ManualConfig{})
+	})
+
+	DescribeTable("delivers ticks when they fall due",
+		func(wait, advance time.Duration, due bool) {
+			subscription := clock.After(wait)
+			clock.Advance(advance)
+			expectTick(subscription, due)
+		},
+		Entry("early", 2*time.Second, time.Second, false),
+		Entry("exactly", time.Second, time.Second, true),
+		Entry("late", time.Second, time.Minute, true),
+		Entry("no wait", time.Duration(0), time.Duration(0), true),
+	)
+
+	It("drops ticks that were not taken", func() {
+		subscription := clock.Every(time.Second)
+		clock.Advance(3 * time.Second)
+		expectTick(subscription, true)
+		clock.Advance(time.Second)
+		expectTick(subscription, true)
+	})
+
+	It("delivers nothing after Stop", func() {
+		subscription := clock.After(time.Second)
+		subscription.Stop()
+		clock.Advance(time.Second)
+		expectTick(subscription, false)
+		Expect(clock.Subscribers()).To(BeZero())
+	})
+})
