--- /dev/null
+++ b/loadtool/harness/process.go
@@ -0,0 +1,128 @@
+// Package harness starts the programs of a deployment as separate processes on
+// loopback addresses, and makes their failures happen. It is for the demo and
+// for tests; each process is ended by its own id.
+package harness
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+// Process is one program that was started.
+type Process struct {
+	Name string
+
+	mu      sync.Mutex
+	binary  string
+	args    []string
+	logFile string
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// ProcessConfig configures a Process.
+type ProcessConfig struct {
+	Name   string
+	Binary string
+	Args   []string
+	// LogDir receives the output, in a file of the process's name.
+	LogDir string
+}
+
+// StartProcess starts a program.
+func StartProcess(config ProcessConfig) (*Process, error) {
+	p := &Process{
+		Name:    config.Name,
+		binary:  config.Binary,
+		args:    config.Args,
+		logFile: filepath.Join(config.LogDir, config.Name+".log"),
+	}
+	return p, p.Start()
+}
+
+// Continue lets a paused process run again.
+func (p *Process) Continue() error {
+	return p.signal(syscall.SIGCONT)
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// ExitCode returns the exit code of an ended process, -1 if it was killed.
+func (p *Process) ExitCode() int {
+	<-p.Done()
+	return p.command.ProcessState.ExitCode()
+}
+
+// Kill ends the process at once and waits until it is gone.
+func (p *Process) Kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.Done()
+	return nil
+}
+
+// Pause stops the process without its knowledge.
+func (p *Process) Pause() error {
+	return p.signal(syscall.SIGSTOP)
+}
+
+// Start starts the program, also again after its end.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	output, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrapf(err, "harness: log of %s", p.Name)
+	}
+	command := exec.Command(p.binary, p.args...)
+	command.Stdout = output
+	command.Stderr = output
+	// The child ends with this program, so that an interrupted run leaves nothing.
+	command.SysProcAttr = &syscall.SysProcAttr{
+		Pdeathsig: syscall.SIGKILL,
+	}
+	if err := startOnLockedThread(command); err != nil {
+		output.Close()
+		return eris.Wrapf(err, "harness: start %s", p.Name)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer output.Close()
+		// The exit status is read by ExitCode.
+		_ = command.Wait()
+	}()
+	p.command = command
+	p.done = done
+	return nil
+}
+
+// Terminate asks the process to shut down gracefully.
+func (p *Process) Terminate() error {
+	return p.signal(syscall.SIGTERM)
+}
+
+func (p *Process) signal(signal syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return nil
+	default:
+	}
+	if err := p.command.Process.Signal(signal); err != nil {
+		return eris.Wrapf(err, "harness: signal %s", p.Name)
+	}
+	return nil
+}
