Add the statement queue of an endpoint

Cause: slots are scarce, and one workspace must not crowd out the others. Change: decision/scheduling orders statements by start-time fair queueing over subjects, with weights by worth and a floor of a quarter of an equal share. Steps of transactions go first, up to a lead of 20 statements. Items that cannot finish in time, or whose expected wait passes the bound, are refused at arrival; the wait is estimated from the statements that the policy serves before the new one, so a flood raises its own wait. One slot is kept from a flooding subject while others have been active within a second. Ruled out: a bound on the count of waiting items, which refuses everyone when one subject floods; unbounded precedence of transactions, which starves the others; judging a subject only by its own average, which can shut it out after one slow statement.

--- /dev/null
+++ b/decision/scheduling/flow.go
@@ -0,0 +1,76 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+)
+
+// flow is the state of one subject.
+type flow struct {
+	subject string
+	worth   float64
+	// start is the virtual time at which the flow's next item starts, in seconds
+	// of service divided by weight.
+	start       float64
+	average     average
+	steps       []queued
+	statements  []queued
+	running     int
+	lastArrival int64
+}
+
+func (f *flow) idle() bool {
+	return f.waiting() == 0 && f.running == 0
+}
+
+func (f *flow) list(steps bool) *[]queued {
+	if steps {
+		return &f.steps
+	}
+	return &f.statements
+}
+
+func (f *flow) pop(steps bool) Item {
+	list := f.list(steps)
+	item := (*list)[0].item
+	*list = slices.Delete(*list, 0, 1)
+	return item
+}
+
+func (f *flow) push(item Item, sequence uint64) {
+	list := f.list(item.Transaction)
+	*list = append(*list, queued{
+		item:     item,
+		sequence: sequence,
+	})
+}
+
+func (f *flow) remove(item Item) {
+	list := f.list(item.Transaction)
+	*list = slices.DeleteFunc(*list, func(w queued) bool { return w.item.ID == item.ID })
+}
+
+func (f *flow) waiting() int {
+	return len(f.steps) + len(f.statements)
+}
+
+// queued is an item and its rank by arrival.
+type queued struct {
+	item     Item
+	sequence uint64
+}
+
+// average is an exponentially weighted moving average of service times.
+type average struct {
+	seconds float64
+	known   bool
+}
+
+func (a *average) add(service time.Duration) {
+	if !a.known {
+		a.seconds = service.Seconds()
+		a.known = true
+		return
+	}
+	a.seconds += averageGain * (service.Seconds() - a.seconds)
+}
--- /dev/null
+++ b/decision/scheduling/queue.go
@@ -0,0 +1,266 @@
+// Package scheduling decides which statement an endpoint runs next and which it
+// refuses. A Queue is not safe for concurrent use; the caller locks.
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"amaranthdock.dev/decision/refusal"
+)
+
+const (
+	// activeFor is how long a subject counts as active after an arrival.
+	activeFor = time.Second
+	// averageGain is the weight of a new service time in the moving averages:
+	// about the last ten statements count.
+	averageGain = 0.1
+	// defaultCost is the expected service time before the first measurement.
+	defaultCost = 5 * time.Millisecond
+	// maxFlows is the number of subjects above which idle ones are forgotten.
+	maxFlows = 1024
+	// minCost keeps estimates finite when service times round to nothing.
+	minCost = 10 * time.Microsecond
+	// minRetryAfter is the shortest retry delay that a refusal names.
+	minRetryAfter = 10 * time.Millisecond
+	// minSlotsToReserve is the number of slots from which one slot is kept from
+	// a subject that floods.
+	minSlotsToReserve = 3
+	// transactionLeadStatements is how many statements a subject may get ahead of
+	// its share through transaction steps.
+	transactionLeadStatements = 20
+	// worstServedShare is the smallest share of a subject, as a fraction of an
+	// equal share.
+	worstServedShare = 0.25
+)
+
+// Config configures a Queue.
+type Config struct {
+	// Policy is the order of service; WeightedFair if nil.
+	Policy Policy
+	// Slots is the number of items that run at once, from 1.
+	Slots int
+	// MaxWait is the expected wait above which items are refused as overloaded;
+	// 0 for no bound.
+	MaxWait time.Duration
+	// InitialCost is the expected service time before the first measurement;
+	// defaultCost if 0.
+	InitialCost time.Duration
+	// AdmitAll turns off refusals at arrival and expiry before the deadline. It
+	// is a baseline of the benchmark.
+	AdmitAll bool
+}
+
+// Item is one statement that waits for a slot.
+type Item struct {
+	// ID is unique among the items that wait or run.
+	ID uint64
+	// Subject is a workspace, or a public route.
+	Subject string
+	// Worth is the weight of the subject, from 1.
+	Worth int
+	// Arrived and Deadline are readings of the process's own timer service.
+	Arrived, Deadline time.Time
+	// Transaction marks a step of an open transaction.
+	Transaction bool
+}
+
+// Queue orders the statements of one endpoint.
+type Queue struct {
+	config    Config
+	average   average
+	flows     []*flow
+	bySubject map[string]*flow
+	items     map[uint64]Item
+	running   map[uint64]run
+	sequence  uint64
+	cursor    int
+	// virtual is the largest of the smallest start tags seen.
+	virtual float64
+}
+
+// run is an item that holds a slot.
+type run struct {
+	flow    *flow
+	started time.Time
+	// cost and weight with which the flow was charged.
+	cost   time.Duration
+	weight float64
+}
+
+// New returns an empty queue.
+func New(config Config) *Queue {
+	if config.Policy == nil {
+		config.Policy = WeightedFair{}
+	}
+	if config.InitialCost == 0 {
+		config.InitialCost = defaultCost
+	}
+	config.Slots = max(config.Slots, 1)
+	return &Queue{
+		config:    config,
+		average:   average{seconds: config.InitialCost.Seconds()},
+		bySubject: map[string]*flow{},
+		items:     map[uint64]Item{},
+		running:   map[uint64]run{},
+	}
+}
+
+// Arrive accepts an item (Enqueued) or turns it away (Refused).
+func (q *Queue) Arrive(now time.Time, item Item) Decision {
+	f := q.flow(item.Subject)
+	f.worth = float64(max(item.Worth, 1))
+	f.lastArrival = now.UnixNano()
+	if !q.config.AdmitAll {
+		if refused, ok := q.refuse(now, f, item); ok {
+			return refused
+		}
+	}
+	if f.waiting() == 0 {
+		f.start = max(f.start, q.virtual)
+	}
+	q.sequence++
+	f.push(item, q.sequence)
+	q.items[item.ID] = item
+	return Enqueued{}
+}
+
+// ExpectedWait estimates how long a new statement of the subject would wait.
+func (q *Queue) ExpectedWait(now time.Time, subject string) time.Duration {
+	f, ok := q.bySubject[subject]
+	if !ok {
+		f = &flow{
+			subject: subject,
+			worth:   1,
+			start:   q.virtual,
+		}
+	}
+	return q.expectedWait(now, f, false)
+}
+
+// Finished frees the slot of an item and measures its service time. An id that
+// does not run is ignored.
+func (q *Queue) Finished(now time.Time, id uint64) {
+	r, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	service := max(now.Sub(r.started), 0)
+	r.flow.running--
+	// The flow was charged with the expected time; the rest is settled now.
+	r.flow.start += (service - r.cost).Seconds() / r.weight
+	r.flow.average.add(service)
+	q.average.add(service)
+}
+
+// Next returns the item to start (Run), an item to drop (Expired), or Idle. Call
+// it until it returns Idle.
+func (q *Queue) Next(now time.Time) Decision {
+	if item, ok := q.expired(now); ok {
+		return Expired{Item: item}
+	}
+	if len(q.running) >= q.config.Slots {
+		return Idle{}
+	}
+	f, steps := q.pick(now.UnixNano())
+	if f == nil {
+		return Idle{}
+	}
+	q.virtual = max(q.virtual, q.smallestStart())
+	item := f.pop(steps)
+	delete(q.items, item.ID)
+	r := run{
+		flow:    f,
+		started: now,
+		cost:    time.Duration(q.cost(f) * float64(time.Second)),
+		weight:  q.weights().of(f),
+	}
+	f.start += r.cost.Seconds() / r.weight
+	f.running++
+	q.running[item.ID] = r
+	return Run{Item: item}
+}
+
+// Remove takes a waiting item out. It returns false if the item does not wait.
+func (q *Queue) Remove(id uint64) bool {
+	item, ok := q.items[id]
+	if !ok {
+		return false
+	}
+	delete(q.items, id)
+	q.bySubject[item.Subject].remove(item)
+	return true
+}
+
+// Running returns the number of items that hold a slot.
+func (q *Queue) Running() int {
+	return len(q.running)
+}
+
+// Waiting returns the number of items that wait.
+func (q *Queue) Waiting() int {
+	return q.waiting()
+}
+
+// expired removes the first head of a list that can no longer finish in time.
+func (q *Queue) expired(now time.Time) (Item, bool) {
+	for _, f := range q.flows {
+		needed := q.needed(f)
+		if q.config.AdmitAll {
+			needed = 0
+		}
+		for _, list := range []*[]queued{&f.steps, &f.statements} {
+			if len(*list) == 0 || now.Add(needed).Before((*list)[0].item.Deadline) {
+				continue
+			}
+			item := (*list)[0].item
+			*list = slices.Delete(*list, 0, 1)
+			delete(q.items, item.ID)
+			return item, true
+		}
+	}
+	return Item{}, false
+}
+
+func (q *Queue) flow(subject string) *flow {
+	f, ok := q.bySubject[subject]
+	if ok {
+		return f
+	}
+	if len(q.flows) >= maxFlows {
+		q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
+			forget := f.idle() && f.start <= q.virtual
+			if forget {
+				delete(q.bySubject, f.subject)
+			}
+			return forget
+		})
+	}
+	f = &flow{
+		subject: subject,
+		worth:   1,
+		start:   q.virtual,
+	}
+	q.flows = append(q.flows, f)
+	q.bySubject[subject] = f
+	return f
+}
+
+func (q *Queue) refuse(now time.Time, f *flow, item Item) (Refused, bool) {
+	wait := q.expectedWait(now, f, item.Transaction)
+	if !now.Add(wait + q.needed(f)).Before(item.Deadline) {
+		return Refused{Reason: refusal.DeadlineTooShort}, true
+	}
+	if q.config.MaxWait > 0 && wait > q.config.MaxWait {
+		return Refused{
+			Reason:     refusal.Overloaded,
+			RetryAfter: max(wait-q.config.MaxWait, minRetryAfter),
+		}, true
+	}
+	return Refused{}, false
+}
+
+func (q *Queue) waiting() int {
+	return len(q.items)
+}
--- /dev/null
+++ b/decision/scheduling/queue_test.go
@@ -0,0 +1,251 @@
+package scheduling_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/scheduling"
+)
+
+const service = 10 * time.Millisecond
+
+func TestScheduling(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "scheduling")
+}
+
+// fixture drives a queue on a time that the test moves.
+type fixture struct {
+	*scheduling.Queue
+	now  time.Time
+	next uint64
+}
+
+func newFixture(config scheduling.Config) *fixture {
+	config.InitialCost = service
+	return &fixture{
+		Queue: scheduling.New(config),
+		now:   time.Unix(0, 0),
+	}
+}
+
+func (f *fixture) arrive(subject string, worth int, timeout time.Duration, transaction bool) scheduling.Decision {
+	f.next++
+	return f.Arrive(f.now, scheduling.Item{
+		ID:          f.next,
+		Subject:     subject,
+		Worth:       worth,
+		Arrived:     f.now,
+		Deadline:    f.now.Add(timeout),
+		Transaction: transaction,
+	})
+}
+
+func (f *fixture) flood(subject string, count int) {
+	for range count {
+		f.arrive(subject, 1, time.Hour, false)
+	}
+}
+
+// serve runs one item at a time and counts the items of each subject.
+func (f *fixture) serve(count int) (map[string]int, []string) {
+	served := map[string]int{}
+	var order []string
+	for range count {
+		run, ok := f.Next(f.now).(scheduling.Run)
+		if !ok {
+			break
+		}
+		served[run.Item.Subject]++
+		order = append(order, run.Item.Subject)
+		f.now = f.now.Add(service)
+		f.Finished(f.now, run.Item.ID)
+	}
+	return served, order
+}
+
+var _ = Describe("Queue", func() {
+	DescribeTable("serves by policy",
+		// Guards against a policy that ignores worth, the floor or the turns.
+		func(policy scheduling.Policy, worth, wantA, wantB int) {
+			f := newFixture(scheduling.Config{
+				Policy: policy,
+				Slots:  1,
+			})
+			for range 200 {
+				f.arrive("a", worth, time.Hour, false)
+			}
+			for range 200 {
+				f.arrive("b", 1, time.Hour, false)
+			}
+			served, _ := f.serve(120)
+			Expect(served["a"]).To(BeNumerically("~", wantA, 2))
+			Expect(served["b"]).To(BeNumerically("~", wantB, 2))
+		},
+		Entry("weighted by worth", scheduling.WeightedFair{}, 3, 90, 30),
+		Entry("worst-served floor", scheduling.WeightedFair{}, 1000, 107, 13),
+		Entry("round robin", scheduling.RoundRobin{}, 3, 60, 60),
+		Entry("first in first out", scheduling.FirstInFirstOut{}, 3, 120, 0),
+	)
+
+	It("gives precedence to transaction steps, up to a bound", func() {
+		// Guards against steps that wait behind statements while they hold a
+		// connection, and against a subject that starves others with steps.
+		f := newFixture(scheduling.Config{Slots: 1})
+		f.flood("a", 100)
+		for range 100 {
+			f.arrive("b", 1, time.Hour, true)
+		}
+		_, order := f.serve(60)
+		Expect(order[:10]).To(HaveEach("b"))
+		Expect(order[25:]).To(ContainElement("a"))
+	})
+
+	DescribeTable("refuses at arrival",
+		// Guards against work that cannot finish in time, and against a wait
+		// without bound.
+		func(backlog int, timeout time.Duration, want scheduling.Decision) {
+			f := newFixture(scheduling.Config{
+				Slots:   1,
+				MaxWait: 100 * time.Millisecond,
+			})
+			for range backlog {
+				f.arrive("a", 1, time.Hour, false)
+				f.Next(f.now)
+			}
+			Expect(f.arrive("a", 1, timeout, false)).To(Equal(want))
+		},
+		Entry("idle endpoint", 0, time.Millisecond, scheduling.Enqueued{}),
+		Entry("deadline passed", 0, time.Duration(0), scheduling.Refused{Reason: refusal.DeadlineTooShort}),
+		Entry("in time", 5, 61*time.Millisecond, scheduling.Enqueued{}),
+		Entry("too late", 5, 60*time.Millisecond, scheduling.Refused{Reason: refusal.DeadlineTooShort}),
+		Entry("overloaded", 12, time.Hour, scheduling.Refused{
+			Reason:     refusal.Overloaded,
+			RetryAfter: 10 * time.Millisecond,
+		}),
+	)
+
+	It("refuses a flooding subject without refusing others", func() {
+		f := newFixture(scheduling.Config{
+			Slots:   5,
+			MaxWait: 200 * time.Millisecond,
+		})
+		f.flood("a", 10000)
+		Expect(f.arrive("a", 1, time.Hour, false)).To(BeAssignableToTypeOf(scheduling.Refused{}))
+		Expect(f.arrive("b", 1, time.Hour, false)).To(Equal(scheduling.Enqueued{}))
+		Expect(f.ExpectedWait(f.now, "a")).To(BeNumerically(">", 150*time.Millisecond))
+		Expect(f.ExpectedWait(f.now, "c")).To(BeNumerically("<", 20*time.Millisecond))
+	})
+
+	It("keeps one slot from a flooding subject while others are active", func() {
+		f := newFixture(scheduling.Config{Slots: 5})
+		f.arrive("b", 1, time.Hour, false)
+		f.flood("a", 20)
+		for range 10 {
+			f.Next(f.now)
+		}
+		Expect(f.Running()).To(Equal(5))
+		f.Finished(f.now.Add(service), 1)
+		Expect(f.Next(f.now.Add(service))).To(Equal(scheduling.Idle{}))
+		Expect(f.Next(f.now.Add(2 * time.Second))).To(BeAssignableToTypeOf(scheduling.Run{}))
+	})
+
+	It("drops items that can no longer finish, and lets callers remove them", func() {
+		f := newFixture(scheduling.Config{Slots: 1})
+		f.flood("a", 1)
+		f.Next(f.now)
+		f.arrive("a", 1, 25*time.Millisecond, false)
+		f.arrive("a", 1, time.Hour, false)
+		Expect(f.Remove(3)).To(BeTrue())
+		Expect(f.Remove(3)).To(BeFalse())
+		Expect(f.Remove(1)).To(BeFalse())
+		expired, ok := f.Next(f.now.Add(15 * time.Millisecond)).(scheduling.Expired)
+		Expect(ok).To(BeTrue())
+		Expect(expired.Item.ID).To(Equal(uint64(2)))
+	})
+
+	It("lets a subject back in after a slow statement", func() {
+		// Guards against an average that rises once and refuses for ever.
+		f := newFixture(scheduling.Config{Slots: 1})
+		f.arrive("a", 1, time.Hour, false)
+		f.Next(f.now)
+		f.now = f.now.Add(10 * time.Second)
+		f.Finished(f.now, 1)
+		Expect(f.arrive("a", 1, time.Second, false)).To(Equal(scheduling.Enqueued{}))
+		Expect(f.Next(f.now)).To(BeAssignableToTypeOf(scheduling.Run{}))
+	})
+})
+
+// TestQueueKeepsItems guards against items that are lost, doubled or run beyond
+// the slots, under any order of calls and any policy.
+func TestQueueKeepsItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		f := newFixture(scheduling.Config{
+			Policy: rapid.SampledFrom([]scheduling.Policy{
+				scheduling.FirstInFirstOut{},
+				scheduling.RoundRobin{},
+				scheduling.WeightedFair{},
+			}).Draw(t, "policy"),
+			Slots:   slots,
+			MaxWait: 50 * time.Millisecond,
+		})
+		waiting := map[uint64]bool{}
+		running := map[uint64]bool{}
+		take := func(id uint64) {
+			if !waiting[id] {
+				t.Fatalf("item %d left the queue without waiting", id)
+			}
+			delete(waiting, id)
+		}
+		anyOf := func(ids map[uint64]bool) uint64 {
+			return rapid.Uint64Range(1, max(f.next, 1)).Filter(func(id uint64) bool { return len(ids) == 0 || ids[id] }).Draw(t, "id")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				subject := fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "subject"))
+				timeout := time.Duration(rapid.IntRange(1, 100).Draw(t, "timeout")) * time.Millisecond
+				decision := f.arrive(subject, rapid.IntRange(1, 5).Draw(t, "worth"), timeout, rapid.Bool().Draw(t, "step"))
+				if _, ok := decision.(scheduling.Enqueued); ok {
+					waiting[f.next] = true
+				}
+			},
+			"next": func(*rapid.T) {
+				switch d := f.Next(f.now).(type) {
+				case scheduling.Run:
+					take(d.Item.ID)
+					running[d.Item.ID] = true
+				case scheduling.Expired:
+					take(d.Item.ID)
+				}
+			},
+			"finish": func(*rapid.T) {
+				if len(running) > 0 {
+					id := anyOf(running)
+					f.Finished(f.now, id)
+					delete(running, id)
+				}
+			},
+			"remove": func(*rapid.T) {
+				if len(waiting) > 0 {
+					id := anyOf(waiting)
+					if f.Remove(id) {
+						take(id)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+				if f.Running() != len(running) || f.Waiting() != len(waiting) || len(running) > slots {
+					t.Fatalf("%d run, %d wait; want %d, %d", f.Running(), f.Waiting(), len(running), len(waiting))
+				}
+			},
+		})
+	})
+}
