Add the stand-in database member and its log rules

Change: standin/memberlog holds the pure rules for terms, the opening entry, replicated entries, truncation and request ids. standin/member serves EndpointService and the new internal ReplicationService on one h2c listener, with statements, optimistic transactions, slots, a connection limit, a log file and test hooks. A replica that hears a term first from its primary takes over the claimant of the term, so that no other claimant can use it. A member with entries of a term is never promoted in it again.

Ruled out: delaying entries at the sender, because one replica could not lag alone; heartbeats on the same call as entries, because a long lag would look like a lost primary; fsync, because only the loss of the process is in scope.

Conclusion: other parts can use member.New(Config) and Run(ctx).

--- /dev/null
+++ b/standin/member/replication.go
@@ -0,0 +1,274 @@
+package member
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
+	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
+	"amaranthdock.dev/api/amaranthdock/endpoint/v1/endpointv1connect"
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/standin/memberlog"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// appendTimeout covers a replica's configured lag.
+	appendTimeout = 10 * time.Second
+	// batchEntries bounds one append call.
+	batchEntries = 256
+	// heartbeatInterval is far below the proxies' detection time of 500 ms.
+	heartbeatInterval = 50 * time.Millisecond
+	heartbeatTimeout  = 500 * time.Millisecond
+	// retryInterval after a refused or failed append.
+	retryInterval = 20 * time.Millisecond
+)
+
+// replicator sends the primary's entries to one peer.
+type replicator struct {
+	member *Member
+	name   string
+	client endpointv1connect.ReplicationServiceClient
+	// term for which next holds; next is the index to send from.
+	term uint64
+	next uint64
+}
+
+// Append adds entries of the primary, after the configured lag.
+func (m *Member) Append(ctx context.Context, request *endpointv1.AppendRequest) (*endpointv1.AppendResponse, error) {
+	if request.GetHeartbeat() {
+		return m.heartbeat(request), nil
+	}
+	m.mu.Lock()
+	lag := m.lag
+	m.mu.Unlock()
+	if lag > 0 && len(request.GetEntries()) > 0 {
+		if err := timer.Sleep(ctx, m.config.Timer, lag); err != nil {
+			return nil, err
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return &endpointv1.AppendResponse{FencedTerm: m.log.FencedTerm()}, nil
+	}
+	done := m.log.Append(memberlog.AppendRequest{
+		Term:     request.GetTerm(),
+		Claimant: request.GetClaimant(),
+		Previous: fromPosition(request.GetPrevious()),
+		Entries:  toEntries(request.GetEntries()),
+	})
+	m.keep(done.Changes)
+	if done.Accepted {
+		m.heard = m.config.Timer.Now()
+	}
+	return &endpointv1.AppendResponse{
+		Accepted:   done.Accepted,
+		FencedTerm: m.log.FencedTerm(),
+		MatchLimit: done.MatchLimit,
+	}, nil
+}
+
+func (m *Member) heartbeat(request *endpointv1.AppendRequest) *endpointv1.AppendResponse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return &endpointv1.AppendResponse{FencedTerm: m.log.FencedTerm()}
+	}
+	changes, ok := m.log.Follow(request.GetTerm(), request.GetClaimant())
+	m.keep(changes)
+	if ok {
+		m.heard = m.config.Timer.Now()
+	}
+	return &endpointv1.AppendResponse{
+		Accepted:   ok,
+		FencedTerm: m.log.FencedTerm(),
+	}
+}
+
+func (m *Member) startReplication(ctx context.Context, group *errgroup.Group, name string, address netip.AddrPort) {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	r := &replicator{
+		member: m,
+		name:   name,
+		client: endpointv1connect.NewReplicationServiceClient(client, "http://"+address.String()),
+	}
+	group.Go(func() error {
+		defer client.CloseIdleConnections()
+		r.run(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		r.runHeartbeat(ctx)
+		return nil
+	})
+}
+
+// run sends entries until the context ends.
+func (r *replicator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		request, changed := r.batch()
+		if request == nil {
+			if err := r.member.waitChange(ctx, changed, heartbeatInterval); err != nil {
+				return
+			}
+			continue
+		}
+		if r.send(ctx, request) {
+			continue
+		}
+		if err := timer.Sleep(ctx, r.member.config.Timer, retryInterval); err != nil {
+			return
+		}
+	}
+}
+
+// batch returns the next entries to send, or nil and a channel to wait on. The
+// first batch of a term is sent even if it is empty, to find the match.
+func (r *replicator) batch() (*endpointv1.AppendRequest, <-chan struct{}) {
+	m := r.member
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.log.Leads() || m.stopped {
+		return nil, m.changed
+	}
+	if r.term != m.log.FencedTerm() {
+		r.term = m.log.FencedTerm()
+		r.next = m.log.TermStart().Index
+	}
+	entries := m.log.Entries(r.next, batchEntries)
+	if len(entries) == 0 {
+		return nil, m.changed
+	}
+	var previous logpos.Position
+	if e, ok := m.log.At(r.next - 1); ok {
+		previous = e.Position()
+	}
+	return &endpointv1.AppendRequest{
+		Term:     r.term,
+		Claimant: m.log.Claimant(),
+		Previous: toPosition(previous),
+		Entries:  fromEntries(entries),
+	}, nil
+}
+
+// send returns false if the next try has to wait.
+func (r *replicator) send(ctx context.Context, request *endpointv1.AppendRequest) bool {
+	ctx, cancel := timer.WithTimeout(ctx, r.member.config.Timer, appendTimeout)
+	defer cancel()
+	response, err := r.client.Append(ctx, request)
+	if err != nil {
+		return false
+	}
+	if response.GetAccepted() {
+		r.next += uint64(len(request.GetEntries()))
+		r.member.noteAnswer()
+		return true
+	}
+	if response.GetFencedTerm() == request.GetTerm() && request.GetPrevious().GetIndex() > 0 {
+		r.next = min(r.next-1, response.GetMatchLimit()+1)
+		return response.GetMatchLimit() > 0
+	}
+	return false
+}
+
+func (r *replicator) runHeartbeat(ctx context.Context) {
+	subscription := r.member.config.Timer.Every(heartbeatInterval)
+	defer subscription.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-subscription.C():
+			r.sendHeartbeat(ctx)
+		}
+	}
+}
+
+func (r *replicator) sendHeartbeat(ctx context.Context) {
+	m := r.member
+	m.mu.Lock()
+	due := m.log.Leads() && !m.stopped
+	request := &endpointv1.AppendRequest{
+		Term:      m.log.FencedTerm(),
+		Claimant:  m.log.Claimant(),
+		Heartbeat: true,
+	}
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := timer.WithTimeout(ctx, m.config.Timer, heartbeatTimeout)
+	defer cancel()
+	response, err := r.client.Append(ctx, request)
+	if err == nil && response.GetAccepted() {
+		m.noteAnswer()
+	}
+}
+
+func (m *Member) noteAnswer() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answered = m.config.Timer.Now()
+}
+
+func fromEntries(entries []memberlog.Entry) []*endpointv1.LogEntry {
+	converted := make([]*endpointv1.LogEntry, 0, len(entries))
+	for _, e := range entries {
+		writes := make([]*endpointv1.LogWrite, 0, len(e.Writes))
+		for _, w := range e.Writes {
+			writes = append(writes, &endpointv1.LogWrite{
+				Key:   w.Key,
+				Value: w.Value,
+			})
+		}
+		converted = append(converted, &endpointv1.LogEntry{
+			Position:  toPosition(e.Position()),
+			RequestId: e.RequestID,
+			Workspace: e.Workspace,
+			Statement: &callerv1.Statement{
+				Command:   e.Command,
+				Arguments: e.Arguments,
+			},
+			Writes:       writes,
+			Rows:         toRows(e.Rows),
+			RowsAffected: e.RowsAffected,
+		})
+	}
+	return converted
+}
+
+func toEntries(entries []*endpointv1.LogEntry) []memberlog.Entry {
+	converted := make([]memberlog.Entry, 0, len(entries))
+	for _, e := range entries {
+		var writes []memberlog.Write
+		for _, w := range e.GetWrites() {
+			writes = append(writes, memberlog.Write{
+				Key:   w.GetKey(),
+				Value: w.GetValue(),
+			})
+		}
+		var rows [][]string
+		for _, r := range e.GetRows() {
+			rows = append(rows, r.GetColumns())
+		}
+		converted = append(converted, memberlog.Entry{
+			Term:         e.GetPosition().GetTerm(),
+			Index:        e.GetPosition().GetIndex(),
+			RequestID:    e.GetRequestId(),
+			Workspace:    e.GetWorkspace(),
+			Command:      e.GetStatement().GetCommand(),
+			Arguments:    e.GetStatement().GetArguments(),
+			Writes:       writes,
+			Rows:         rows,
+			RowsAffected: e.GetRowsAffected(),
+		})
+	}
+	return converted
+}
