--- /dev/null
+++ b/declaration/key.go
@@ -0,0 +1,65 @@
+package declaration
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+)
+
+const (
+	// keyPrefix lets secret scanners recognise a key.
+	keyPrefix = "ad_"
+	// keyIDBytes and keySecretBytes are lengths before encoding.
+	keyIDBytes     = 8
+	keySecretBytes = 32
+)
+
+// IssuedKey is a new key with the text that its caller sends.
+type IssuedKey struct {
+	Key Key
+	// Text is shown once and never stored: ad_<id>_<secret>.
+	Text string
+}
+
+// NewKey makes a key from the system's random source.
+func NewKey() IssuedKey {
+	id := randomHex(keyIDBytes)
+	secret := randomHex(keySecretBytes)
+	return IssuedKey{
+		Key: Key{
+			ID:   id,
+			Hash: HashSecret(secret),
+		},
+		Text: keyPrefix + id + "_" + secret,
+	}
+}
+
+// HashSecret returns the SHA-256 of a secret in hexadecimal.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// SplitKey returns the id and the secret of a key's text.
+func SplitKey(text string) (id, secret string, ok bool) {
+	rest, ok := strings.CutPrefix(text, keyPrefix)
+	if !ok {
+		return "", "", false
+	}
+	id, secret, ok = strings.Cut(rest, "_")
+	return id, secret, ok && id != "" && secret != ""
+}
+
+// Matches tells in constant time whether the secret belongs to the key.
+func (k Key) Matches(secret string) bool {
+	return subtle.ConstantTimeCompare([]byte(HashSecret(secret)), []byte(k.Hash)) == 1
+}
+
+func randomHex(length int) string {
+	bytes := make([]byte, length)
+	// Read never returns an error; it ends the process if there is no randomness.
+	_, _ = rand.Read(bytes)
+	return hex.EncodeToString(bytes)
+}
