Read the settings of a proxy process and the files that they name

Cause: the proxy needs its addresses, its VM's place, TLS files and session keys before any part can start. Ruled out: reading certificates again while running; a replaced VM gets new files. Conclusion: a process that starts has settings without known faults.

--- a/settings/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package settings is not built yet.
-package settings
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"crypto/tls"
+	"path/filepath"
+
+	"amaranthdock.dev/settings/strictyaml"
+)
+
+// Loaded is the settings with the content of the files that they name. The TLS
+// fields are nil for plain text.
+type Loaded struct {
+	Settings *Settings
+	// SessionKeys authenticate session tokens; the first one signs.
+	SessionKeys []Secret
+	CallerTLS   *tls.Config
+	OperatorTLS *tls.Config
+	// PeerServerTLS and PeerClientTLS are mutual.
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
+}
+
+type loader struct {
+	directory string
+	positions *strictyaml.Positions
+	faults    strictyaml.Errors
+}
+
+func (l *loader) load(settings *Settings) *Loaded {
+	loaded := &Loaded{Settings: settings}
+	keys, err := ReadSessionKeys(l.resolve(settings.SessionKeyFile))
+	l.add("sessionKeyFile", err)
+	loaded.SessionKeys = keys
+	if files := l.resolveTLS(settings.CallerTLS); files != nil {
+		loaded.CallerTLS, err = files.Server()
+		l.add("callerTls", err)
+	}
+	if files := l.resolveTLS(settings.OperatorTLS); files != nil {
+		loaded.OperatorTLS, err = files.Server()
+		l.add("operatorTls", err)
+	}
+	if files := l.resolveTLS(settings.PeerTLS); files != nil {
+		loaded.PeerServerTLS, err = files.Server()
+		l.add("peerTls", err)
+		if err == nil {
+			loaded.PeerClientTLS, err = files.Client()
+			l.add("peerTls", err)
+		}
+	}
+	return loaded
+}
+
+func (l *loader) add(field string, err error) {
+	if err != nil {
+		l.faults = append(l.faults, l.positions.ErrorAt(field, err.Error()))
+	}
+}
+
+func (l *loader) resolve(file string) string {
+	if file == "" || filepath.IsAbs(file) {
+		return file
+	}
+	return filepath.Join(l.directory, file)
+}
+
+func (l *loader) resolveTLS(files *TLSFiles) *TLSFiles {
+	if files == nil {
+		return nil
+	}
+	return &TLSFiles{
+		CertificateFile: l.resolve(files.CertificateFile),
+		KeyFile:         l.resolve(files.KeyFile),
+		CAFile:          l.resolve(files.CAFile),
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,167 @@
+package settings_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const valid = `vm: vm-1
+place: s1
+region: south
+storeRegion: south
+callerListen: 127.0.0.1:7100
+peerListen: 127.0.0.1:7101
+operatorListen: 127.0.0.1:7102
+observeListen: 127.0.0.1:7103
+platformAddress: 127.0.0.1:7200
+seedPeers: [127.0.0.1:7111]
+sessionKeyFile: session.keys
+peerTls: {certificateFile: cert.pem, keyFile: key.pem, caFile: cert.pem}
+logLevel: debug
+`
+
+const sessionKey = "0123456789abcdef0123456789abcdef"
+
+// expectFaults guards against wrong settings that are accepted, and against
+// faults that are reported one at a time or without their place.
+func expectFaults(err error, faults []string) {
+	GinkgoHelper()
+	Expect(err).To(HaveOccurred())
+	Expect(strings.Split(err.Error(), "\n")).To(HaveLen(len(faults)), err.Error())
+	for _, fault := range faults {
+		Expect(err.Error()).To(ContainSubstring(fault))
+	}
+}
+
+func write(directory, name, content string) {
+	GinkgoHelper()
+	Expect(os.WriteFile(filepath.Join(directory, name), []byte(content), 0o600)).To(Succeed())
+}
+
+// writeCertificate writes a self-signed certificate for 127.0.0.1 and its key.
+func writeCertificate(directory string) {
+	GinkgoHelper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotBefore:             time.Unix(0, 0),
+		NotAfter:              time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	encoded, err := x509.MarshalPKCS8PrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	write(directory, "cert.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate})))
+	write(directory, "key.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded})))
+}
+
+var _ = Describe("Parse", func() {
+	DescribeTable("reports the place of each fault",
+		func(old, replacement string, faults ...string) {
+			Expect(valid).To(ContainSubstring(old))
+			_, err := settings.Parse("s.yaml", []byte(strings.Replace(valid, old, replacement, 1)))
+			expectFaults(err, faults)
+		},
+		Entry("unknown field", "logLevel:", "logLevl:", "s.yaml:13:1: logLevl: unknown field"),
+		Entry("host name", "127.0.0.1:7200", "localhost:7200", "s.yaml:9:18: platformAddress:"),
+		Entry("two faults", "place: s1\nregion: south", "place: \"\"\nregion: \"\"", "s.yaml:2:1: place: must be set", "s.yaml:3:1: region: must be set"),
+		Entry("absent field", "vm: vm-1\n", "", "vm: must be set"),
+		Entry("address twice", "127.0.0.1:7102", "127.0.0.1:7101", "operatorListen: has the address of peerListen"),
+		Entry("peer TLS without authorities", ", caFile: cert.pem", "", "peerTls.caFile: must be set"),
+		Entry("wrong level", "logLevel: debug", "logLevel: loud", "logLevel: must be one of"),
+		Entry("seed that cannot be reached", "[127.0.0.1:7111]", "[0.0.0.0:7111]", "seedPeers[0]: must be"),
+	)
+})
+
+var _ = Describe("Load", func() {
+	var directory, file string
+
+	BeforeEach(func() {
+		directory = GinkgoT().TempDir()
+		file = filepath.Join(directory, "s.yaml")
+		write(directory, "s.yaml", valid)
+		write(directory, "session.keys", "# first\n"+base64.StdEncoding.EncodeToString([]byte(sessionKey))+"\n")
+		writeCertificate(directory)
+	})
+
+	It("hides the session keys from logs and dumps", func() {
+		loaded, err := settings.Load(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]byte(loaded.SessionKeys[0])).To(BeEquivalentTo(sessionKey))
+		dump, err := json.Marshal(loaded.SessionKeys)
+		Expect(err).NotTo(HaveOccurred())
+		shown := string(dump) + fmt.Sprintf("%v %+v %#v %x %s", loaded, loaded.SessionKeys, loaded.SessionKeys, loaded.SessionKeys, loaded.SessionKeys[0])
+		Expect(shown).NotTo(ContainSubstring(sessionKey))
+		Expect(shown).NotTo(ContainSubstring(base64.StdEncoding.EncodeToString([]byte(sessionKey))))
+		Expect(shown).NotTo(ContainSubstring(fmt.Sprintf("%x", sessionKey)))
+	})
+
+	It("refuses a peer without a certificate", func() {
+		loaded, err := settings.Load(file)
+		Expect(err).NotTo(HaveOccurred())
+		listener, err := tls.Listen("tcp", "127.0.0.1:0", loaded.PeerServerTLS)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = listener.Close() }()
+		results := make(chan error, 2)
+		go func() {
+			defer GinkgoRecover()
+			for range 2 {
+				connection, err := listener.Accept()
+				Expect(err).NotTo(HaveOccurred())
+				results <- connection.(*tls.Conn).Handshake()
+				_ = connection.Close()
+			}
+		}()
+		connection, err := tls.Dial("tcp", listener.Addr().String(), loaded.PeerClientTLS)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(<-results).To(Succeed())
+		Expect(connection.Close()).To(Succeed())
+
+		anonymous := loaded.PeerClientTLS.Clone()
+		anonymous.Certificates = nil
+		connection, err = tls.Dial("tcp", listener.Addr().String(), anonymous)
+		if err == nil {
+			defer func() { _ = connection.Close() }()
+		}
+		Expect(<-results).To(HaveOccurred())
+	})
+
+	DescribeTable("reports faults of the files",
+		func(name, content string, fault string) {
+			write(directory, name, content)
+			expectFaults(settings.Check(file), []string{fault})
+		},
+		Entry("short key", "session.keys", "c2hvcnQ=", "sessionKeyFile: "),
+		Entry("not base64", "session.keys", "!", "is not in base64"),
+		Entry("no key", "session.keys", "# none", "holds no session key"),
+		Entry("no certificate", "cert.pem", "", "peerTls: load the certificate"),
+	)
+})
