Serve metrics, readiness and state dumps of a process

Cause: operators need logs with a fixed name for each part, metrics, and the state of a process without its secrets. Settings in a dump or log show no key and no TLS configuration. Ruled out: the Prometheus exporter for go-metrics, which the module proxy does not serve (403); own code for that format. go-metrics writes its registry as JSON by itself. Measured: the packages' tests pass, among them one that looks for a session key in dumps and logs. Conclusion: /metrics is JSON; a kept exporter can replace it in one function.

--- a/observe/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package observe is not built yet.
-package observe
--- /dev/null
+++ b/observe/dumps.go
@@ -0,0 +1,87 @@
+package observe
+
+import (
+	"encoding/json"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthdock.dev/timer"
+)
+
+// Dumper is a part with state. Dump returns a struct that marshals to camelCase
+// JSON and holds no secret.
+type Dumper interface {
+	Dump() any
+}
+
+// DumpFunc is a function as a Dumper.
+type DumpFunc func() any
+
+// Dump calls the function.
+func (f DumpFunc) Dump() any { return f() }
+
+// Dumps collects the state of the parts of a process.
+type Dumps struct {
+	timer timer.Service
+	vm    string
+
+	mu    sync.Mutex
+	parts map[string]Dumper
+}
+
+// DumpsConfig configures Dumps.
+type DumpsConfig struct {
+	Timer timer.Service
+	VM    string
+}
+
+// Dump is the state of a process.
+type Dump struct {
+	VM    string         `json:"vm"`
+	Time  time.Time      `json:"time"`
+	Parts map[string]any `json:"parts"`
+}
+
+// NewDumps returns an empty collection.
+func NewDumps(config DumpsConfig) *Dumps {
+	return &Dumps{
+		timer: config.Timer,
+		vm:    config.VM,
+		parts: map[string]Dumper{},
+	}
+}
+
+// JSON returns the state of all parts.
+func (d *Dumps) JSON() ([]byte, error) {
+	plain, err := json.Marshal(d.Dump())
+	if err != nil {
+		return nil, eris.Wrap(err, "encode the state dump")
+	}
+	return plain, nil
+}
+
+// Dump returns the state of all parts. Parts are asked without a lock held.
+func (d *Dumps) Dump() Dump {
+	d.mu.Lock()
+	parts := maps.Clone(d.parts)
+	d.mu.Unlock()
+	dump := Dump{
+		VM:    d.vm,
+		Time:  d.timer.Now(),
+		Parts: map[string]any{},
+	}
+	for name, part := range parts {
+		dump.Parts[name] = part.Dump()
+	}
+	return dump
+}
+
+// Register adds a part, or replaces the one of the same name.
+func (d *Dumps) Register(name string, part Dumper) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.parts[name] = part
+}
--- /dev/null
+++ b/observe/observe_test.go
@@ -0,0 +1,120 @@
+package observe_test
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/observe"
+	"amaranthdock.dev/settings"
+	"amaranthdock.dev/timer"
+)
+
+func TestObserve(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "observe")
+}
+
+var _ = Describe("Server", func() {
+	const secret = "0123456789abcdef0123456789abcdef"
+	var (
+		log    *bytes.Buffer
+		logger logr.Logger
+		ready  error
+		server *observe.Server
+	)
+
+	BeforeEach(func() {
+		ready = nil
+		log = &bytes.Buffer{}
+		var err error
+		logger, err = observe.NewLogger(observe.LoggerConfig{
+			Level:  settings.LevelInfo,
+			Format: settings.FormatJSON,
+			Output: log,
+			VM:     "vm-1",
+		})
+		Expect(err).NotTo(HaveOccurred())
+		dumps := observe.NewDumps(observe.DumpsConfig{
+			Timer: timer.NewManual(timer.ManualConfig{}),
+			VM:    "vm-1",
+		})
+		dumps.Register("settings", observe.DumpFunc(func() any {
+			loaded := settings.Loaded{
+				Settings:    &settings.Settings{VM: "vm-1"},
+				SessionKeys: []settings.Secret{settings.Secret(secret)},
+				// A configuration with functions cannot be encoded, so it would
+				// end the dump if it were part of it.
+				PeerServerTLS: &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, nil }},
+			}
+			return []any{loaded, loaded.SessionKeys}
+		}))
+		registry := metrics.NewRegistry()
+		metrics.GetOrRegisterCounter("caller.requests", registry).Inc(3)
+		server, err = observe.New(observe.Config{
+			Logger:   logger,
+			Registry: registry,
+			Dumps:    dumps,
+			Ready:    func() error { return ready },
+		})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	get := func(path string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		server.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		return recorder
+	}
+
+	// expectNoSecret guards against settings whose secrets reach a dump or log.
+	expectNoSecret := func(text string) {
+		GinkgoHelper()
+		Expect(text).To(ContainSubstring("vm-1"))
+		Expect(text).To(ContainSubstring("redacted"))
+		Expect(text).NotTo(ContainSubstring(secret))
+		Expect(text).NotTo(ContainSubstring("MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY"))
+	}
+
+	It("serves a dump without secrets", func() {
+		answer := get("/dump")
+		expectNoSecret(answer.Body.String())
+		var dump observe.Dump
+		Expect(json.Unmarshal(answer.Body.Bytes(), &dump)).To(Succeed())
+		Expect(dump.Parts).To(HaveKey("settings"))
+	})
+
+	It("logs a dump and secrets without showing them", func() {
+		server.LogDump()
+		expectNoSecret(log.String())
+		log.Reset()
+		logger.WithName("caller").Info("Key.", "key", settings.Secret(secret))
+		expectNoSecret(log.String())
+		Expect(log.String()).To(ContainSubstring(`"part":"caller"`))
+	})
+
+	It("hides debug lines at the level info", func() {
+		logger.V(1).Info("Detail.")
+		Expect(log.String()).To(BeEmpty())
+	})
+
+	It("serves metrics", func() {
+		Expect(get("/metrics").Body.String()).To(MatchJSON(`{"caller.requests":{"count":3}}`))
+	})
+
+	It("reports not ready with the reason, so that the load balancer turns away", func() {
+		Expect(get("/ready").Code).To(Equal(http.StatusOK))
+		ready = errors.New("leaving")
+		Expect(get("/ready").Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(get("/ready").Body.String()).To(ContainSubstring("leaving"))
+		Expect(get("/live").Code).To(Equal(http.StatusOK))
+	})
+})
--- a/settings/load.go
+++ b/settings/load.go
@@ -2,22 +2,32 @@
 
 import (
 	"crypto/tls"
+	"fmt"
 	"path/filepath"
 
 	"amaranthdock.dev/settings/strictyaml"
 )
 
 // Loaded is the settings with the content of the files that they name. The TLS
-// fields are nil for plain text.
+// fields are nil for plain text. Only the settings appear in logs and dumps.
 type Loaded struct {
-	Settings *Settings
+	Settings *Settings `json:"settings"`
 	// SessionKeys authenticate session tokens; the first one signs.
-	SessionKeys []Secret
-	CallerTLS   *tls.Config
-	OperatorTLS *tls.Config
+	SessionKeys []Secret    `json:"-"`
+	CallerTLS   *tls.Config `json:"-"`
+	OperatorTLS *tls.Config `json:"-"`
 	// PeerServerTLS and PeerClientTLS are mutual.
-	PeerServerTLS *tls.Config
-	PeerClientTLS *tls.Config
+	PeerServerTLS *tls.Config `json:"-"`
+	PeerClientTLS *tls.Config `json:"-"`
+}
+
+// Dump returns the settings, which name files and hold no secret.
+func (l *Loaded) Dump() any { return l.Settings }
+
+// Format writes the settings only, because a TLS configuration holds the
+// certificate's private key.
+func (l Loaded) Format(state fmt.State, _ rune) {
+	_, _ = fmt.Fprintf(state, "%+v", l.Settings)
 }
 
 type loader struct {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,33 +25,33 @@
 
 // Settings of a proxy process.
 type Settings struct {
-	VM          string `yaml:"vm"`
-	Place       string `yaml:"place"`
-	Region      string `yaml:"region"`
-	StoreRegion string `yaml:"storeRegion"`
-
-	CallerListen   netip.AddrPort `yaml:"callerListen"`
-	PeerListen     netip.AddrPort `yaml:"peerListen"`
-	OperatorListen netip.AddrPort `yaml:"operatorListen"`
+	VM          string `json:"vm" yaml:"vm"`
+	Place       string `json:"place" yaml:"place"`
+	Region      string `json:"region" yaml:"region"`
+	StoreRegion string `json:"storeRegion" yaml:"storeRegion"`
+
+	CallerListen   netip.AddrPort `json:"callerListen" yaml:"callerListen"`
+	PeerListen     netip.AddrPort `json:"peerListen" yaml:"peerListen"`
+	OperatorListen netip.AddrPort `json:"operatorListen" yaml:"operatorListen"`
 	// ObserveListen serves metrics, the state dump and readiness.
-	ObserveListen netip.AddrPort `yaml:"observeListen"`
+	ObserveListen netip.AddrPort `json:"observeListen" yaml:"observeListen"`
 
-	PlatformAddress netip.AddrPort `yaml:"platformAddress"`
+	PlatformAddress netip.AddrPort `json:"platformAddress" yaml:"platformAddress"`
 	// SeedPeers are peer listeners to start from if the platform is out.
-	SeedPeers []netip.AddrPort `yaml:"seedPeers,omitempty"`
+	SeedPeers []netip.AddrPort `json:"seedPeers,omitempty" yaml:"seedPeers,omitempty"`
 
 	// SessionKeyFile has one base64 key a line; the first one signs. Files are
 	// relative to the directory of the settings file.
-	SessionKeyFile string `yaml:"sessionKeyFile"`
+	SessionKeyFile string `json:"sessionKeyFile" yaml:"sessionKeyFile"`
 	// CallerTLS, PeerTLS and OperatorTLS; plain text if absent, for tests.
-	CallerTLS   *TLSFiles `yaml:"callerTls,omitempty"`
-	PeerTLS     *TLSFiles `yaml:"peerTls,omitempty"`
-	OperatorTLS *TLSFiles `yaml:"operatorTls,omitempty"`
+	CallerTLS   *TLSFiles `json:"callerTls,omitempty" yaml:"callerTls,omitempty"`
+	PeerTLS     *TLSFiles `json:"peerTls,omitempty" yaml:"peerTls,omitempty"`
+	OperatorTLS *TLSFiles `json:"operatorTls,omitempty" yaml:"operatorTls,omitempty"`
 
 	// LogLevel is debug, info (the default) or error.
-	LogLevel string `yaml:"logLevel,omitempty"`
+	LogLevel string `json:"logLevel,omitempty" yaml:"logLevel,omitempty"`
 	// LogFormat is json (the default) or console.
-	LogFormat string `yaml:"logFormat,omitempty"`
+	LogFormat string `json:"logFormat,omitempty" yaml:"logFormat,omitempty"`
 }
 
 // Load reads a settings file and the files that it names. The error is of type
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -10,11 +10,11 @@
 
 // TLSFiles names the PEM files of a listener or client.
 type TLSFiles struct {
-	CertificateFile string `yaml:"certificateFile"`
-	KeyFile         string `yaml:"keyFile"`
+	CertificateFile string `json:"certificateFile" yaml:"certificateFile"`
+	KeyFile         string `json:"keyFile" yaml:"keyFile"`
 	// CAFile has the authorities that the other side must be signed by. A
 	// server with a CAFile requires client certificates.
-	CAFile string `yaml:"caFile,omitempty"`
+	CAFile string `json:"caFile,omitempty" yaml:"caFile,omitempty"`
 }
 
 // Client returns the configuration of a client that shows its certificate if it
