Add the stand-in of the platform's service

Cause: the proxy's failure tests and the demo need the store, the VM list and their faults without the platform. The command for members is written against the agreed interface and has the build constraint ignore until its package is merged. Ruled out: a build tag of its own for the member command, because go mod tidy follows every tag but ignore and would look for the missing package.

--- /dev/null
+++ b/standin/member.go
@@ -0,0 +1,60 @@
+//go:build ignore
+
+package main
+
+import (
+	"net/netip"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"amaranthdock.dev/standin/member"
+	"amaranthdock.dev/timer"
+)
+
+type memberCommand struct {
+	config member.Config
+	listen address
+	peers  map[string]string
+}
+
+func addMember(app *kingpin.Application) {
+	c := &memberCommand{peers: map[string]string{}}
+	command := app.Command("member", "Run a member of a database.").Action(c.run)
+	command.Flag("name", "Name of the endpoint.").Required().StringVar(&c.config.Name)
+	command.Flag("listen", "Address of the endpoint protocol.").Required().SetValue(&c.listen)
+	command.Flag("peer", "Another member as NAME=ADDRESS; repeatable.").StringMapVar(&c.peers)
+	command.Flag("slots", "Statements that run at once.").Default("5").IntVar(&c.config.Slots)
+	command.Flag("connections", "Limit of open connections.").Default("30").IntVar(&c.config.Connections)
+	command.Flag("connection-cost", "Time to open a connection.").Default("10ms").DurationVar(&c.config.ConnectionCost)
+	command.Flag("statement-time", "Time of a statement.").Default("2ms").DurationVar(&c.config.StatementTime)
+	command.Flag("lag", "Delay of replication.").Default("20ms").DurationVar(&c.config.Lag)
+	command.Flag("piece-rows", "Rows of each piece of an answer.").Default("100").IntVar(&c.config.PieceRows)
+	command.Flag("log-file", "File that keeps the log over a restart; none if empty.").StringVar(&c.config.LogFile)
+	command.Flag("seed", "Seed of the random numbers.").Default("1").Int64Var(&c.config.Seed)
+}
+
+func (c *memberCommand) run(*kingpin.ParseContext) error {
+	logger, err := newLogger()
+	if err != nil {
+		return err
+	}
+	c.config.Listen = c.listen.AddrPort
+	c.config.Logger = logger
+	c.config.Timer = timer.NewSystem()
+	c.config.Peers = map[string]netip.AddrPort{}
+	for name, text := range c.peers {
+		peer, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return eris.Wrapf(err, "--peer %s", name)
+		}
+		c.config.Peers[name] = peer
+	}
+	m, err := member.New(c.config)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withSignals()
+	defer cancel()
+	return m.Run(ctx)
+}
--- /dev/null
+++ b/standin/platform/vmlist.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"amaranthdock.dev/timer"
+)
+
+// VM is an entry of the VM list.
+type VM struct {
+	Name        string         `json:"name"`
+	Place       string         `json:"place"`
+	PeerAddress netip.AddrPort `json:"peerAddress"`
+	Leaving     bool           `json:"leaving,omitempty"`
+}
+
+// VMList is a version of the VM list as the admin pages take it.
+type VMList struct {
+	VMs []VM `json:"vms"`
+	// Immediate makes the list visible without the lag.
+	Immediate bool `json:"immediate,omitempty"`
+}
+
+// vmList shows each version once its lag has passed.
+type vmList struct {
+	timer timer.Service
+
+	mu       sync.Mutex
+	lag      time.Duration
+	revision uint64
+	visible  []VM
+	pending  []pendingList
+}
+
+type pendingList struct {
+	vms []VM
+	due time.Time
+}
+
+func newVMList(service timer.Service, lag time.Duration) *vmList {
+	return &vmList{
+		timer: service,
+		lag:   lag,
+	}
+}
+
+func (l *vmList) get() ([]VM, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timer.Now()
+	for len(l.pending) > 0 && !now.Before(l.pending[0].due) {
+		l.visible = l.pending[0].vms
+		l.revision++
+		l.pending = l.pending[1:]
+	}
+	return l.visible, l.revision
+}
+
+// set replaces the list; an immediate one drops the versions that still wait.
+func (l *vmList) set(list VMList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if list.Immediate {
+		l.pending = nil
+		l.visible = list.VMs
+		l.revision++
+		return
+	}
+	l.pending = append(l.pending, pendingList{
+		vms: list.VMs,
+		due: l.timer.Now().Add(l.lag),
+	})
+}
