Add membership, configuration sync, the store client and gossip

Cause: the proxies need to know which VMs respond, and every accepted configuration has to reach all of them and never revert. Change: decision/membership and decision/confsync hold the pure decisions; proxy/platform is the store client; proxy/gossip executes the decisions. Ruled out: authority ages taken from requests, because a request may have waited unread while the receiver was paused; ages come from answers only and count from the sending of the probe. Conclusion: compiles, not yet tested.

--- /dev/null
+++ b/decision/confsync/fleet.go
@@ -0,0 +1,80 @@
+package confsync
+
+import (
+	"amaranthdock.dev/decision/routing"
+)
+
+// Known is one VM of the member table.
+type Known struct {
+	VM routing.VM
+	// Live VMs answer probes and are not leaving.
+	Live bool
+}
+
+// Watchers returns the VMs that watch the store: in each region the first ones
+// of the live VMs by rendezvous hashing.
+func Watchers(key string, live []routing.VM, perRegion int) []routing.VM {
+	taken := map[string]int{}
+	var watchers []routing.VM
+	for _, v := range routing.Rank(key, live) {
+		if taken[v.Region] == perRegion {
+			continue
+		}
+		taken[v.Region]++
+		watchers = append(watchers, v)
+	}
+	return watchers
+}
+
+// SetFleet takes over a change of the member table. The fleet names this VM too;
+// it is empty until this VM has joined, so that it neither watches the store nor
+// judges an outage without knowing the others.
+func (s *State) SetFleet(fleet []Known) {
+	var live []routing.VM
+	known := map[string]bool{}
+	placeLive := map[string]bool{}
+	for _, k := range fleet {
+		known[k.VM.Name] = true
+		if k.Live {
+			live = append(live, k.VM)
+		}
+		if k.VM.Region == s.config.StoreRegion {
+			placeLive[k.VM.Place] = placeLive[k.VM.Place] || k.Live
+		}
+	}
+	s.placesCovered = true
+	for _, covered := range placeLive {
+		s.placesCovered = s.placesCovered && covered
+	}
+	for vm := range s.reports {
+		if !known[vm] {
+			delete(s.reports, vm)
+		}
+	}
+	s.watchers = nil
+	s.watching = false
+	for _, w := range Watchers(s.config.Key, live, s.config.WatchersPerRegion) {
+		if w.Name == s.config.Self.Name {
+			s.watching = true
+			continue
+		}
+		s.watchers = append(s.watchers, w)
+	}
+	if !s.watching {
+		s.store = StoreUnwatched
+	}
+}
+
+// Watching tells whether this VM watches the store.
+func (s *State) Watching() bool {
+	return s.watching
+}
+
+// Consult returns the other watchers, which this VM has to probe directly while
+// it cannot reach the store, to find out whether they can. It is empty otherwise.
+func (s *State) Consult() []routing.VM {
+	if !s.watching || s.store != StoreOut {
+		return nil
+	}
+	return s.watchers
+}
--- /dev/null
+++ b/decision/membership/decision.go
@@ -0,0 +1,27 @@
+package membership
+
+// Decision is what the caller has to do next.
+type Decision interface {
+	decision()
+}
+
+// None asks for nothing.
+type None struct{}
+
+// ProbePeer asks to probe a peer and to report AnswerReceived or ProbeMissed.
+type ProbePeer struct {
+	ID   uint64
+	Peer Member
+}
+
+// ProbeThrough asks to have a peer probed by others, and to report
+// AnswerReceived if one of them got an answer, else ProbeMissed.
+type ProbeThrough struct {
+	ID      uint64
+	Peer    Member
+	Through []Member
+}
+
+func (None) decision()         {}
+func (ProbePeer) decision()    {}
+func (ProbeThrough) decision() {}
--- /dev/null
+++ b/proxy/gossip/configuration.go
@@ -0,0 +1,101 @@
+package gossip
+
+import (
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthdock.dev/declaration"
+)
+
+// unknownAge stands for the age of a configuration that was never known to be
+// the newest one.
+const unknownAge = time.Duration(math.MaxInt64)
+
+// Configuration gives the configuration in effect.
+type Configuration interface {
+	// AuthorityAge is the time since the configuration was known to be the newest
+	// one; the longest duration if it never was.
+	AuthorityAge() time.Duration
+	// Authorized tells whether requests that need a key may run.
+	Authorized() bool
+	// Current returns the snapshot in effect; nil before there is one.
+	Current() *declaration.Snapshot
+	// Subscribe signals changes of the snapshot. Changes that come before the
+	// subscriber has taken the last signal are combined into one.
+	Subscribe() (changes <-chan struct{}, cancel func())
+}
+
+var _ Configuration = (*Part)(nil)
+
+// AuthorityAge is the time since the configuration was known to be the newest.
+func (p *Part) AuthorityAge() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	age, ok := p.versions.Age(p.config.Timer.Now())
+	if !ok {
+		return unknownAge
+	}
+	return age
+}
+
+// Authorized tells whether requests that need a key may run.
+func (p *Part) Authorized() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.Authorized(p.config.Timer.Now())
+}
+
+// Current returns the snapshot in effect; nil before there is one.
+func (p *Part) Current() *declaration.Snapshot {
+	return p.current.Load()
+}
+
+// Ready tells whether this VM has joined the fleet and has a configuration.
+func (p *Part) Ready() bool {
+	return p.ready.Load()
+}
+
+// Subscribe signals changes of the snapshot.
+func (p *Part) Subscribe() (<-chan struct{}, func()) {
+	changes := make(chan struct{}, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.subscribers[changes] = struct{}{}
+	return changes, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.subscribers, changes)
+	}
+}
+
+// accept puts an encoded document into effect if it is newer. It returns the
+// document's version, and whether it was new to this VM.
+func (p *Part) accept(encoded []byte, source string) (version uint64, accepted bool, err error) {
+	document, err := p.config.Decode(encoded)
+	if err != nil {
+		return 0, false, eris.Wrapf(err, "gossip: configuration from %s", source)
+	}
+	version = document.Version
+	if snapshot := p.current.Load(); snapshot != nil && version <= snapshot.Version() {
+		return version, false, nil
+	}
+	snapshot := declaration.NewSnapshot(document)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.versions.Accept(version) {
+		return version, false, nil
+	}
+	p.current.Store(snapshot)
+	p.encoded = encoded
+	p.refresh()
+	for changes := range p.subscribers {
+		select {
+		case changes <- struct{}{}:
+		default:
+		}
+	}
+	p.config.Logger.Info("gossip: configuration in effect", "version", version, "source", source)
+	return version, true, nil
+}
--- /dev/null
+++ b/proxy/gossip/dump.go
@@ -0,0 +1,65 @@
+package gossip
+
+import (
+	"slices"
+	"strings"
+)
+
+// Dump is the state of the part for the state dump.
+type Dump struct {
+	VM                   string       `json:"vm"`
+	Ready                bool         `json:"ready"`
+	Leaving              bool         `json:"leaving"`
+	Watching             bool         `json:"watching"`
+	Authorized           bool         `json:"authorized"`
+	AuthorityAge         string       `json:"authorityAge"`
+	ConfigurationVersion uint64       `json:"configurationVersion"`
+	HighestVersionHeard  uint64       `json:"highestVersionHeard"`
+	StoreRevision        uint64       `json:"storeRevision"`
+	Members              []MemberDump `json:"members"`
+}
+
+// MemberDump is one member of the fleet.
+type MemberDump struct {
+	VM          string `json:"vm"`
+	Place       string `json:"place"`
+	Region      string `json:"region"`
+	PeerAddress string `json:"peerAddress"`
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	State       string `json:"state"`
+}
+
+// Dump returns the state of the part.
+func (p *Part) Dump() any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Timer.Now()
+	dump := Dump{
+		VM:                   p.config.Self.Name,
+		Ready:                p.ready.Load(),
+		Leaving:              p.left,
+		Watching:             p.versions.Watching(),
+		Authorized:           p.versions.Authorized(now),
+		AuthorityAge:         "unknown",
+		ConfigurationVersion: p.versions.Version(),
+		HighestVersionHeard:  p.versions.HighestHeard(),
+		StoreRevision:        p.stored.revision,
+	}
+	if age, ok := p.versions.Age(now); ok {
+		dump.AuthorityAge = age.String()
+	}
+	for _, m := range p.table.Members() {
+		dump.Members = append(dump.Members, MemberDump{
+			VM:          m.VM,
+			Place:       m.Place,
+			Region:      p.regionOf(m.Place),
+			PeerAddress: m.Address.String(),
+			Incarnation: m.Incarnation,
+			Sequence:    m.Sequence,
+			State:       m.State.String(),
+		})
+	}
+	slices.SortFunc(dump.Members, func(a, b MemberDump) int { return strings.Compare(a.VM, b.VM) })
+	return dump
+}
