Let processes dial from their own address

Change: the setting peerAddress, replication from the member's own address, the command standin member. Measured: standin and settings tests pass. Conclusion: processes can stand behind relays.

--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return eris.Wrap(err, "harness: VM list")
 	}
-	return d.PlatformAdmin(ctx, "/vms", body)
+	return d.PlatformAdmin(ctx, "/admin/vms", body)
 }
 
 // PlatformAdmin posts to the administration of the stand-in platform.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,8 +30,11 @@
 	Region      string `json:"region" yaml:"region"`
 	StoreRegion string `json:"storeRegion" yaml:"storeRegion"`
 
-	CallerListen   netip.AddrPort `json:"callerListen" yaml:"callerListen"`
-	PeerListen     netip.AddrPort `json:"peerListen" yaml:"peerListen"`
+	CallerListen netip.AddrPort `json:"callerListen" yaml:"callerListen"`
+	PeerListen   netip.AddrPort `json:"peerListen" yaml:"peerListen"`
+	// PeerAddress is where other VMs reach the peer listener; PeerListen if it
+	// is absent. Connections to other hosts leave from PeerListen's address.
+	PeerAddress    netip.AddrPort `json:"peerAddress" yaml:"peerAddress,omitempty"`
 	OperatorListen netip.AddrPort `json:"operatorListen" yaml:"operatorListen"`
 	// ObserveListen serves metrics, the state dump and readiness.
 	ObserveListen netip.AddrPort `json:"observeListen" yaml:"observeListen"`
@@ -121,6 +124,10 @@
 	c.checkText("region", s.Region)
 	c.checkText("storeRegion", s.StoreRegion)
 	c.checkListeners(s)
+	if !s.PeerAddress.IsValid() {
+		s.PeerAddress = s.PeerListen
+	}
+	c.checkTarget("peerAddress", s.PeerAddress)
 	c.checkTarget("platformAddress", s.PlatformAddress)
 	for i, peer := range s.SeedPeers {
 		c.checkTarget(fmt.Sprintf("seedPeers[%d]", i), peer)
--- a/standin/main.go
+++ b/standin/main.go
@@ -17,6 +17,7 @@
 func main() {
 	app := kingpin.New("standin", "Stand-ins of the systems around amaranthdock.")
 	app.HelpFlag.Short('h')
+	addMember(app)
 	addPlatform(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- a/standin/member.go
+++ b/standin/member.go
@@ -1,5 +1,3 @@
-//go:build ignore
-
 package main
 
 import (
@@ -31,7 +29,7 @@
 	command.Flag("lag", "Delay of replication.").Default("20ms").DurationVar(&c.config.Lag)
 	command.Flag("piece-rows", "Rows of each piece of an answer.").Default("100").IntVar(&c.config.PieceRows)
 	command.Flag("log-file", "File that keeps the log over a restart; none if empty.").StringVar(&c.config.LogFile)
-	command.Flag("seed", "Seed of the random numbers.").Default("1").Int64Var(&c.config.Seed)
+	command.Flag("seed", "Seed of the random numbers.").Default("1").Uint64Var(&c.config.Seed)
 }
 
 func (c *memberCommand) run(*kingpin.ParseContext) error {
--- a/standin/member/replication.go
+++ b/standin/member/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -93,7 +94,17 @@
 func (m *Member) startReplication(ctx context.Context, group *errgroup.Group, name string, address netip.AddrPort) {
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
-	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	// Replication leaves from the member's own address, by which the network
+	// between the hosts knows it.
+	dialer := &net.Dialer{
+		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(m.config.Listen.Addr(), 0)),
+	}
+	client := &http.Client{
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext,
+			Protocols:   protocols,
+		},
+	}
 	r := &replicator{
 		member: m,
 		name:   name,
