--- /dev/null
+++ b/decision/routing/route.go
@@ -0,0 +1,165 @@
+package routing
+
+import (
+	"time"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+)
+
+// placeDistance is the one-way latency between two places of a region, and
+// regionDistance that between regions, as measured on the users' networks.
+const (
+	placeDistance  = time.Millisecond
+	regionDistance = 20 * time.Millisecond
+)
+
+// Site is an endpoint as the configuration declares it.
+type Site struct {
+	Endpoint string
+	Place    string
+	Region   string
+	// Leaving endpoints get no new work.
+	Leaving bool
+}
+
+// Freshness is what a read requires of the data. A read that requires neither a
+// position nor an age is served by the primary only.
+type Freshness struct {
+	// Required position, if HasRequired.
+	Required    logpos.Position
+	HasRequired bool
+	// MaxAge of the data, if HasMaxAge.
+	MaxAge    time.Duration
+	HasMaxAge bool
+}
+
+// AllowsReplica tells whether a replica may serve the read.
+func (f Freshness) AllowsReplica() bool {
+	return f.HasRequired || f.HasMaxAge
+}
+
+// Route says where the entry sends a statement.
+type Route interface{ route() }
+
+// SendTo is a Route to the home of an endpoint.
+type SendTo struct {
+	Endpoint string
+	Role     Role
+}
+
+// NoRoute is a Route to nowhere at present.
+type NoRoute struct {
+	Reason refusal.Reason
+}
+
+func (SendTo) route()  {}
+func (NoRoute) route() {}
+
+// ReadInput is what RouteRead decides on.
+type ReadInput struct {
+	View   DatabaseView
+	Sites  []Site
+	Place  string
+	Region string
+	Freshness
+	// Excluded endpoints have refused this read already.
+	Excluded map[string]bool
+}
+
+// RouteRead sends a read to the best replica of the entry's region that may be
+// eligible, else to the primary, else, when no primary can be used, to a replica
+// of another region.
+func RouteRead(in ReadInput) Route {
+	if in.AllowsReplica() {
+		if endpoint, ok := bestReplica(in, true); ok {
+			return SendTo{
+				Endpoint: endpoint,
+				Role:     RoleReplica,
+			}
+		}
+	}
+	primary := RouteWrite(in.View, in.Sites)
+	if _, ok := primary.(SendTo); ok || !in.AllowsReplica() {
+		return primary
+	}
+	if endpoint, ok := bestReplica(in, false); ok {
+		return SendTo{
+			Endpoint: endpoint,
+			Role:     RoleReplica,
+		}
+	}
+	return primary
+}
+
+// RouteWrite sends a write, or the first step of a transaction, to the primary.
+func RouteWrite(view DatabaseView, sites []Site) Route {
+	if view.Primary == "" {
+		return NoRoute{Reason: refusal.NoPrimary}
+	}
+	for _, s := range sites {
+		if s.Endpoint != view.Primary {
+			continue
+		}
+		if s.Leaving {
+			return NoRoute{Reason: refusal.EndpointLeaving}
+		}
+		return SendTo{
+			Endpoint: s.Endpoint,
+			Role:     RolePrimary,
+		}
+	}
+	return NoRoute{Reason: refusal.NoPrimary}
+}
+
+func bestReplica(in ReadInput, sameRegion bool) (string, bool) {
+	best, found, lowest := "", false, time.Duration(0)
+	for _, s := range in.Sites {
+		if s.Leaving || in.Excluded[s.Endpoint] || s.Endpoint == in.View.Primary {
+			continue
+		}
+		if sameRegion != (s.Region == in.Region) {
+			continue
+		}
+		member, ok := in.View.Member(s.Endpoint)
+		if !ok || !mayServe(member, in.Freshness) {
+			continue
+		}
+		cost := replicaCost(member, s, in)
+		if !found || cost < lowest {
+			best, found, lowest = s.Endpoint, true, cost
+		}
+	}
+	return best, found
+}
+
+// mayServe leaves the position to the home, which knows it exactly: the entry's
+// view is late, and the replica may have caught up.
+func mayServe(member MemberView, f Freshness) bool {
+	if !member.Reachable {
+		return false
+	}
+	return !f.HasMaxAge || !member.AgeKnown || member.Age <= f.MaxAge
+}
+
+func replicaCost(member MemberView, s Site, in ReadInput) time.Duration {
+	cost := member.QueueWait + distance(s.Place, s.Region, in.Place, in.Region)
+	if in.HasRequired && !member.Last.Covers(in.Required) {
+		cost += distance(s.Place, s.Region, in.Place, in.Region) + placeDistance
+		if member.AgeKnown {
+			cost += member.Age
+		}
+	}
+	return cost
+}
+
+func distance(place, region, otherPlace, otherRegion string) time.Duration {
+	switch {
+	case region != otherRegion:
+		return regionDistance
+	case place != otherPlace:
+		return placeDistance
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/decision/routing/route_test.go
@@ -0,0 +1,145 @@
+package routing_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/routing"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "route")
+}
+
+var (
+	atNear    = routing.SendTo{Endpoint: "near", Role: routing.RoleReplica}
+	atNext    = routing.SendTo{Endpoint: "next", Role: routing.RoleReplica}
+	atPrimary = routing.SendTo{Endpoint: "p", Role: routing.RolePrimary}
+	sites     = []routing.Site{
+		newSite("p", "far", "east"),
+		newSite("near", "here", "west"),
+		newSite("next", "there", "west"),
+	}
+	covered = routing.Freshness{
+		HasRequired: true,
+		Required:    logpos.Position{Term: 2, Index: 8},
+	}
+	aged = routing.Freshness{
+		HasMaxAge: true,
+		MaxAge:    time.Millisecond,
+	}
+	both = routing.Freshness{
+		HasRequired: true,
+		HasMaxAge:   true,
+		MaxAge:      time.Millisecond,
+	}
+	newer = routing.Freshness{
+		HasRequired: true,
+		Required:    logpos.Position{Term: 3},
+	}
+)
+
+func newSite(endpoint, place, region string) routing.Site {
+	return routing.Site{
+		Endpoint: endpoint,
+		Place:    place,
+		Region:   region,
+	}
+}
+
+func newMember(endpoint string, role routing.Role, index uint64) routing.MemberView {
+	return routing.MemberView{
+		Endpoint:  endpoint,
+		Role:      role,
+		Reachable: true,
+		AgeKnown:  true,
+		Age:       5 * time.Millisecond,
+		Last:      logpos.Position{Term: 2, Index: index},
+	}
+}
+
+func newView() routing.DatabaseView {
+	return routing.DatabaseView{
+		Term:    2,
+		Primary: "p",
+		Members: []routing.MemberView{
+			newMember("p", routing.RolePrimary, 9),
+			newMember("near", routing.RoleReplica, 8),
+			newMember("next", routing.RoleReplica, 8),
+		},
+	}
+}
+
+var _ = DescribeTable("RouteRead",
+	func(freshness routing.Freshness, change func(*routing.ReadInput), expected routing.Route) {
+		in := routing.ReadInput{
+			View:      newView(),
+			Sites:     slices.Clone(sites),
+			Place:     "here",
+			Region:    "west",
+			Freshness: freshness,
+		}
+		change(&in)
+		Expect(routing.RouteRead(in)).To(Equal(expected))
+	},
+	Entry("stays in the region", covered, func(*routing.ReadInput) {}, atNear),
+	Entry("reads at the primary without a token", routing.Freshness{}, func(*routing.ReadInput) {}, atPrimary),
+	Entry("gives a leaving replica no new work", covered, func(in *routing.ReadInput) { in.Sites[1].Leaving = true }, atNext),
+	Entry("skips a replica that refused", covered, func(in *routing.ReadInput) { in.Excluded = map[string]bool{"near": true} }, atNext),
+	Entry("skips an unreachable replica", covered, func(in *routing.ReadInput) { in.View.Members[1].Reachable = false }, atNext),
+	Entry("prefers the shorter queue", covered, func(in *routing.ReadInput) { in.View.Members[1].QueueWait = time.Second }, atNext),
+	Entry("skips data that is too old", aged, func(*routing.ReadInput) {}, atPrimary),
+	Entry("uses another region's replica without a primary", covered, func(in *routing.ReadInput) {
+		in.View.Primary, in.Region, in.View.Members[0].Reachable = "", "east", false
+	}, atNear),
+	Entry("refuses without a token and a primary", routing.Freshness{}, func(in *routing.ReadInput) { in.View.Primary = "" }, routing.NoRoute{Reason: refusal.NoPrimary}),
+	Entry("refuses at a leaving primary", routing.Freshness{}, func(in *routing.ReadInput) { in.Sites[0].Leaving = true }, routing.NoRoute{Reason: refusal.EndpointLeaving}),
+)
+
+var _ = DescribeTable("ServeRead",
+	func(endpoint string, freshness routing.Freshness, change func(*routing.ServeInput), expected routing.Serving) {
+		in := routing.ServeInput{
+			View:             newView(),
+			Primary:          sites[0],
+			Freshness:        freshness,
+			PrimaryConfirmed: true,
+			Remaining:        time.Second,
+		}
+		for _, s := range sites {
+			if s.Endpoint == endpoint {
+				in.Site = s
+			}
+		}
+		change(&in)
+		Expect(routing.ServeRead(in)).To(Equal(expected))
+	},
+	Entry("serves a covered position", "near", covered, func(*routing.ServeInput) {}, routing.ServeNow{}),
+	Entry("refuses a read without a token at a replica", "near", routing.Freshness{}, func(*routing.ServeInput) {}, routing.RefuseRead{Reason: refusal.NotPrimary}),
+	Entry("waits when catching up is shorter than the trip", "near", covered,
+		func(in *routing.ServeInput) { in.View.Members[1].Last.Index = 7 },
+		routing.WaitFor{Position: covered.Required, Limit: 40 * time.Millisecond}),
+	Entry("refuses when the trip is shorter", "near", covered,
+		func(in *routing.ServeInput) { in.View.Members[1].Last.Index = 7; in.Primary = sites[2] },
+		routing.RefuseRead{Reason: refusal.ReplicaBehind}),
+	Entry("refuses when the deadline is shorter", "near", covered,
+		func(in *routing.ServeInput) { in.View.Members[1].Last.Index = 7; in.Remaining = time.Millisecond },
+		routing.RefuseRead{Reason: refusal.ReplicaBehind}),
+	Entry("guards against a longer log of an older term", "near", covered,
+		func(in *routing.ServeInput) {
+			in.View.Members[1].Last = logpos.Position{Term: 1, Index: 99}
+			in.View.Members[1].AgeKnown = false
+		},
+		routing.RefuseRead{Reason: refusal.ReplicaBehind}),
+	Entry("refuses data of unknown age", "near", aged, func(in *routing.ServeInput) { in.View.Members[1].AgeKnown = false }, routing.RefuseRead{Reason: refusal.ReplicaBehind}),
+	Entry("requires both conditions", "near", both, func(*routing.ServeInput) {}, routing.RefuseRead{Reason: refusal.ReplicaBehind}),
+	Entry("guards against a replaced primary", "p", routing.Freshness{}, func(in *routing.ServeInput) { in.PrimaryConfirmed = false }, routing.RefuseRead{Reason: refusal.NotPrimary}),
+	Entry("guards against a primary of an older term", "p", newer, func(*routing.ServeInput) {}, routing.RefuseRead{Reason: refusal.NotPrimary}),
+	Entry("gives a leaving endpoint no new work", "near", covered, func(in *routing.ServeInput) { in.Site.Leaving = true }, routing.RefuseRead{Reason: refusal.EndpointLeaving}),
+)
--- /dev/null
+++ b/decision/routing/serve.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"time"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+)
+
+// Serving says what the home of an endpoint does with a read.
+type Serving interface{ serving() }
+
+// ServeNow runs the read now.
+type ServeNow struct{}
+
+// WaitFor runs the read once the endpoint holds the position, and refuses it as
+// replicaBehind if that takes longer than Limit.
+type WaitFor struct {
+	Position logpos.Position
+	Limit    time.Duration
+}
+
+// RefuseRead refuses the read as not run.
+type RefuseRead struct {
+	Reason refusal.Reason
+}
+
+func (ServeNow) serving()   {}
+func (WaitFor) serving()    {}
+func (RefuseRead) serving() {}
+
+// ServeInput is what ServeRead decides on. View is the home's own.
+type ServeInput struct {
+	View DatabaseView
+	Site Site
+	// Primary is the site of the view's primary; zero if there is none.
+	Primary Site
+	Freshness
+	// PrimaryConfirmed tells that another member confirmed the primary's term
+	// within the detection time.
+	PrimaryConfirmed bool
+	// Remaining time until the deadline.
+	Remaining time.Duration
+}
+
+// ServeRead decides at the home of an endpoint whether it serves a read now.
+func ServeRead(in ServeInput) Serving {
+	if in.Site.Leaving {
+		return RefuseRead{Reason: refusal.EndpointLeaving}
+	}
+	if in.View.Primary == in.Site.Endpoint {
+		return serveAtPrimary(in)
+	}
+	if !in.AllowsReplica() {
+		return RefuseRead{Reason: refusal.NotPrimary}
+	}
+	member, ok := in.View.Member(in.Site.Endpoint)
+	if !ok || !member.Reachable {
+		return RefuseRead{Reason: refusal.Unreachable}
+	}
+	if in.HasMaxAge && (!member.AgeKnown || member.Age > in.MaxAge) {
+		return RefuseRead{Reason: refusal.ReplicaBehind}
+	}
+	if !in.HasRequired || member.Last.Covers(in.Required) {
+		return ServeNow{}
+	}
+	return waitOrRefuse(in, member)
+}
+
+// serveAtPrimary refuses when the endpoint may have been replaced: no other member
+// confirms its term, or the session has seen a newer one.
+func serveAtPrimary(in ServeInput) Serving {
+	if !in.PrimaryConfirmed {
+		return RefuseRead{Reason: refusal.NotPrimary}
+	}
+	if in.HasRequired && in.Required.Term > in.View.Term {
+		return RefuseRead{Reason: refusal.NotPrimary}
+	}
+	return ServeNow{}
+}
+
+// waitOrRefuse takes the age of the replica's data as the time that it needs to
+// catch up, since a position that exists now reaches it about that much later.
+func waitOrRefuse(in ServeInput, member MemberView) Serving {
+	trip := tripToPrimary(in)
+	if !member.AgeKnown || member.Age > trip || member.Age >= in.Remaining {
+		return RefuseRead{Reason: refusal.ReplicaBehind}
+	}
+	return WaitFor{
+		Position: in.Required,
+		Limit:    min(trip, in.Remaining),
+	}
+}
+
+func tripToPrimary(in ServeInput) time.Duration {
+	trip := 2 * max(placeDistance, distance(in.Site.Place, in.Site.Region, in.Primary.Place, in.Primary.Region))
+	if primary, ok := in.View.Member(in.View.Primary); ok {
+		trip += primary.QueueWait
+	}
+	return trip
+}
