Add the homes of endpoints and the protocol between proxies

Cause: statements need one queue and one capped set of connections for each endpoint, and entries need a truthful result of what they forward. Ruled out: canceling a stream's context alone to close a connection. The HTTP/2 transport looks at the context only once the request body has ended, and the member kept the stream for longer than the 1 s that the test waited; closing the request ends it at once. A step that waits for a connection while transactions hold all of them is refused instead, since it holds the slot that their next steps need. Result: 32 specs of proxy/endpoint and those of proxy/peer pass with the race detector, 5 of 5 runs. Conclusion: the caller protocol can be built on the forwarder.

--- /dev/null
+++ b/proxy/endpoint/node.go
@@ -0,0 +1,183 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/proxy/peer"
+	"amaranthdock.dev/timer"
+)
+
+// shape is what a node cannot change while it works.
+type shape struct {
+	slots       int
+	connections int
+	maxWait     time.Duration
+}
+
+// node is one endpoint at its home: its queue, its workers, its connections.
+type node struct {
+	endpoint string
+	inFlight peer.InFlight
+	pool     *pool
+	shape    shape
+	stop     chan struct{}
+	timer    timer.Service
+	wake     chan struct{}
+	// warming is held while connections are opened in advance.
+	warming sync.Mutex
+
+	mu     sync.Mutex
+	lastID uint64
+	queue  Queue
+	tasks  map[uint64]*task
+}
+
+// task is a step in the queue. Its run is called by a worker, or never.
+type task struct {
+	done chan struct{}
+	err  error
+	id   uint64
+	run  func() error
+}
+
+func newNode(endpoint string, form shape, queue Queue, connections *pool, service timer.Service) *node {
+	n := &node{
+		endpoint: endpoint,
+		pool:     connections,
+		shape:    form,
+		stop:     make(chan struct{}),
+		timer:    service,
+		wake:     make(chan struct{}, form.slots),
+		queue:    queue,
+		tasks:    map[uint64]*task{},
+	}
+	for range form.slots {
+		go n.work()
+	}
+	return n
+}
+
+// submit queues a step, waits until a worker has run it and returns its error. A
+// step that was not run is refused as such.
+func (n *node) submit(ctx context.Context, item Item, run func() error) error {
+	waiting := &task{
+		done: make(chan struct{}),
+		run:  run,
+	}
+	if err := n.enqueue(item, waiting); err != nil {
+		return err
+	}
+	select {
+	case <-waiting.done:
+		return waiting.err
+	case <-ctx.Done():
+	}
+	if n.remove(waiting) {
+		return refusal.NewNotRun(refusal.QueueTimeout, "the request ended while it waited in the queue")
+	}
+	<-waiting.done
+	return waiting.err
+}
+
+// expectedWait of a step that arrives now.
+func (n *node) expectedWait(subject string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.queue.ExpectedWait(n.timer.Now(), subject)
+}
+
+// queued returns the number of steps that wait or run.
+func (n *node) queued() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.tasks)
+}
+
+func (n *node) close() {
+	close(n.stop)
+	n.pool.close()
+}
+
+func (n *node) enqueue(item Item, waiting *task) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lastID++
+	item.ID = n.lastID
+	waiting.id = item.ID
+	decision := n.queue.Arrive(item.Arrived, item)
+	if refused, ok := decision.(Refused); ok {
+		return &refusal.Error{
+			Outcome:    refusal.NotRun,
+			Reason:     refused.Reason,
+			Message:    "the queue of the endpoint refused the step",
+			RetryAfter: refused.RetryAfter,
+		}
+	}
+	n.tasks[item.ID] = waiting
+	select {
+	case n.wake <- struct{}{}:
+	default:
+		// As many wake-ups as workers are pending already.
+	}
+	return nil
+}
+
+func (n *node) remove(waiting *task) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.queue.Remove(waiting.id) {
+		return false
+	}
+	delete(n.tasks, waiting.id)
+	return true
+}
+
+// work runs steps until the node is closed.
+func (n *node) work() {
+	for {
+		next := n.take()
+		if next == nil {
+			select {
+			case <-n.wake:
+				continue
+			case <-n.stop:
+				return
+			}
+		}
+		next.err = next.run()
+		n.finish(next)
+	}
+}
+
+// take returns the next step to run, or nil, and refuses those that expired.
+func (n *node) take() *task {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for {
+		switch decision := n.queue.Next(n.timer.Now()).(type) {
+		case Run:
+			return n.tasks[decision.Item.ID]
+		case Expired:
+			expired, ok := n.tasks[decision.Item.ID]
+			if !ok {
+				continue
+			}
+			delete(n.tasks, decision.Item.ID)
+			expired.err = refusal.NewNotRun(refusal.QueueTimeout, "the step waited too long in the queue")
+			close(expired.done)
+		default:
+			return nil
+		}
+	}
+}
+
+func (n *node) finish(finished *task) {
+	n.mu.Lock()
+	n.queue.Finished(n.timer.Now(), finished.id)
+	delete(n.tasks, finished.id)
+	n.mu.Unlock()
+	close(finished.done)
+}
--- /dev/null
+++ b/proxy/peer/dial.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
+)
+
+const (
+	// dialTimeout is far above the 40 ms of a round trip between regions.
+	dialTimeout = time.Second
+	// pingAfter without a frame, a connection is probed; a frozen process or a
+	// partition is noticed after pingAfter + pingTimeout.
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+)
+
+// DialError marks a failure to connect, which proves that the request that
+// needed the connection was not sent.
+type DialError struct {
+	cause error
+}
+
+// Error returns the cause.
+func (e *DialError) Error() string { return "dial: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.cause }
+
+// NeverSent tells whether err proves that its request never left the process.
+func NeverSent(err error) bool {
+	var dial *DialError
+	return errors.As(err, &dial)
+}
+
+// ClientConfig configures a Clients cache.
+type ClientConfig struct {
+	// TLS of the peers; nil for plain text.
+	TLS *tls.Config
+}
+
+// Clients caches one client for each address. It is safe for concurrent use.
+type Clients struct {
+	http   *http.Client
+	scheme string
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]peerv1connect.PeerServiceClient
+}
+
+// NewClients returns an empty cache.
+func NewClients(config ClientConfig) *Clients {
+	return &Clients{
+		http:    NewHTTPClient(config.TLS),
+		scheme:  Scheme(config.TLS),
+		clients: map[netip.AddrPort]peerv1connect.PeerServiceClient{},
+	}
+}
+
+// Dial returns the client of an address. It connects when it is first used.
+func (c *Clients) Dial(address netip.AddrPort) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address.String())
+		c.clients[address] = client
+	}
+	return client
+}
+
+// NewHTTPClient returns a client that speaks HTTP/2 only, in plain text if there
+// is no TLS configuration, and marks failures to connect with DialError.
+func NewHTTPClient(config *tls.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(config != nil)
+	protocols.SetUnencryptedHTTP2(config == nil)
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, &DialError{cause: err}
+				}
+				return conn, nil
+			},
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout: pingAfter,
+				PingTimeout:     pingTimeout,
+			},
+			Protocols:           protocols,
+			TLSClientConfig:     config,
+			TLSHandshakeTimeout: dialTimeout,
+		},
+	}
+}
+
+// Scheme returns the URL scheme that fits a TLS configuration.
+func Scheme(config *tls.Config) string {
+	if config == nil {
+		return "http"
+	}
+	return "https"
+}
