--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -79,8 +79,18 @@
 	Expect(err).NotTo(HaveOccurred())
 	encoded, err := x509.MarshalPKCS8PrivateKey(key)
 	Expect(err).NotTo(HaveOccurred())
-	write(directory, "cert.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate})))
-	write(directory, "key.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded})))
+	for name, block := range map[string]*pem.Block{
+		"cert.pem": {
+			Type:  "CERTIFICATE",
+			Bytes: certificate,
+		},
+		"key.pem": {
+			Type:  "PRIVATE KEY",
+			Bytes: encoded,
+		},
+	} {
+		write(directory, name, string(pem.EncodeToMemory(block)))
+	}
 }
 
 var _ = Describe("Parse", func() {
