Plug the statement queue into the homes of endpoints

Cause: proxy/endpoint declared its own copies of the queue's types. Change: it takes the types of decision/scheduling; outgoing connections can leave from a given address. Conclusion: one declaration of the queue's decisions.

--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -10,6 +10,7 @@
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/declaration"
 	"amaranthdock.dev/proxy/peer"
 )
@@ -126,9 +127,9 @@
 }
 
 // item is the step as the queue sees it.
-func (h *Home) item(s *step) Item {
+func (h *Home) item(s *step) scheduling.Item {
 	subject, _ := s.snapshot.Subject(subjectOf(s.ForwardRequest))
-	return Item{
+	return scheduling.Item{
 		Subject:     subjectOf(s.ForwardRequest),
 		Worth:       max(1, subject.Worth),
 		Arrived:     h.config.Timer.Now(),
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -23,6 +23,7 @@
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/declaration"
 	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
@@ -36,31 +37,31 @@
 // fifo is a first-in-first-out queue with a bound on the steps that run.
 type fifo struct {
 	slots, running int
-	waiting        []Item
+	waiting        []scheduling.Item
 }
 
-func (q *fifo) Arrive(_ time.Time, item Item) Decision {
+func (q *fifo) Arrive(_ time.Time, item scheduling.Item) scheduling.Decision {
 	q.waiting = append(q.waiting, item)
-	return Enqueued{}
+	return scheduling.Enqueued{}
 }
 
 func (q *fifo) ExpectedWait(time.Time, string) time.Duration { return 0 }
 
 func (q *fifo) Finished(time.Time, uint64) { q.running-- }
 
-func (q *fifo) Next(time.Time) Decision {
+func (q *fifo) Next(time.Time) scheduling.Decision {
 	if len(q.waiting) == 0 || q.running >= q.slots {
-		return Idle{}
+		return scheduling.Idle{}
 	}
 	item := q.waiting[0]
 	q.waiting = q.waiting[1:]
 	q.running++
-	return Run{Item: item}
+	return scheduling.Run{Item: item}
 }
 
 func (q *fifo) Remove(id uint64) bool {
 	count := len(q.waiting)
-	q.waiting = slices.DeleteFunc(q.waiting, func(i Item) bool { return i.ID == id })
+	q.waiting = slices.DeleteFunc(q.waiting, func(i scheduling.Item) bool { return i.ID == id })
 	return len(q.waiting) < count
 }
 
@@ -259,7 +260,7 @@
 		},
 	}
 	f.place(f.member.address())
-	client := peer.NewHTTPClient(nil)
+	client := peer.NewHTTPClient(peer.ClientConfig{})
 	home, err := New(Config{
 		Configuration: f,
 		Dial: func(address netip.AddrPort) endpointv1connect.EndpointServiceClient {
--- a/proxy/endpoint/node.go
+++ b/proxy/endpoint/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
@@ -62,7 +63,7 @@
 
 // submit queues a step, waits until a worker has run it and returns its error. A
 // step that was not run is refused as such.
-func (n *node) submit(ctx context.Context, item Item, run func() error) error {
+func (n *node) submit(ctx context.Context, item scheduling.Item, run func() error) error {
 	waiting := &task{
 		done: make(chan struct{}),
 		run:  run,
@@ -101,14 +102,14 @@
 	n.pool.close()
 }
 
-func (n *node) enqueue(item Item, waiting *task) error {
+func (n *node) enqueue(item scheduling.Item, waiting *task) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lastID++
 	item.ID = n.lastID
 	waiting.id = item.ID
 	decision := n.queue.Arrive(item.Arrived, item)
-	if refused, ok := decision.(Refused); ok {
+	if refused, ok := decision.(scheduling.Refused); ok {
 		return &refusal.Error{
 			Outcome:    refusal.NotRun,
 			Reason:     refused.Reason,
@@ -158,9 +159,9 @@
 	defer n.mu.Unlock()
 	for {
 		switch decision := n.queue.Next(n.timer.Now()).(type) {
-		case Run:
+		case scheduling.Run:
 			return n.tasks[decision.Item.ID]
-		case Expired:
+		case scheduling.Expired:
 			expired, ok := n.tasks[decision.Item.ID]
 			if !ok {
 				continue
--- a/proxy/peer/dial.go
+++ b/proxy/peer/dial.go
@@ -42,6 +42,9 @@
 
 // ClientConfig configures a Clients cache.
 type ClientConfig struct {
+	// From is the address that connections leave from; the system's choice if it
+	// is not valid.
+	From netip.Addr
 	// TLS of the peers; nil for plain text.
 	TLS *tls.Config
 }
@@ -58,7 +61,7 @@
 // NewClients returns an empty cache.
 func NewClients(config ClientConfig) *Clients {
 	return &Clients{
-		http:    NewHTTPClient(config.TLS),
+		http:    NewHTTPClient(config),
 		scheme:  Scheme(config.TLS),
 		clients: map[netip.AddrPort]peerv1connect.PeerServiceClient{},
 	}
@@ -78,11 +81,16 @@
 
 // NewHTTPClient returns a client that speaks HTTP/2 only, in plain text if there
 // is no TLS configuration, and marks failures to connect with DialError.
-func NewHTTPClient(config *tls.Config) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewHTTPClient(config ClientConfig) *http.Client {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+	}
+	if config.From.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.From, 0))
+	}
 	protocols := new(http.Protocols)
-	protocols.SetHTTP2(config != nil)
-	protocols.SetUnencryptedHTTP2(config == nil)
+	protocols.SetHTTP2(config.TLS != nil)
+	protocols.SetUnencryptedHTTP2(config.TLS == nil)
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -97,7 +105,7 @@
 				PingTimeout:     pingTimeout,
 			},
 			Protocols:           protocols,
-			TLSClientConfig:     config,
+			TLSClientConfig:     config.TLS,
 			TLSHandshakeTimeout: dialTimeout,
 		},
 	}
