--- a/client/doc.go
+++ b/client/doc.go
@@ -1,2 +1,3 @@
-// Package client is not built yet.
+// Package client is a Go client of the proxies. It keeps the tokens of a session
+// and merges them over concurrent requests.
 package client
--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -101,7 +101,8 @@
 	if !ok || view.Primary == "" {
 		return 0, refusal.NewNotRun(refusal.NoPrimary, "the database has no known primary")
 	}
-	if view.Primary != s.GetEndpoint() {
+	// A session that has seen a later term knows of a newer primary.
+	if view.Primary != s.GetEndpoint() || s.GetRequired().GetTerm() > view.Term {
 		return 0, refusal.NewNotRun(refusal.NotPrimary, "the endpoint is not the primary")
 	}
 	if declared, ok := s.snapshot.Endpoint(s.GetEndpoint()); ok && declared.Leaving {
