Add token buckets, durable shares and loans

Cause: the limit of a workspace is strict over all proxies, also while parts move, answers are lost and processes restart. Change: decision/limits holds the buckets, the share record with its checks, the changes of the record (Reconcile, Give, Release), a VM's share and the decisions on loans. A VM that becomes a holder gets a new epoch and begins with an empty bucket. A writer shrinks its own share before it writes, and keeps it small until the record has passed the revision that the write expected. Ruled out: moving the parts of VMs that do not answer probes, which may be paused; parts taken from a live VM by another one.

--- /dev/null
+++ b/decision/limits/limits_test.go
@@ -0,0 +1,268 @@
+package limits_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/decision/routing"
+)
+
+var start = time.Unix(0, 0)
+
+func TestLimits(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limits")
+}
+
+func fleetOf(names ...string) limits.Fleet {
+	f := limits.Fleet{
+		Listed: names,
+		Named:  names,
+		Gone:   map[string]bool{},
+	}
+	for _, n := range names {
+		f.Live = append(f.Live, routing.VM{Name: n})
+	}
+	return f
+}
+
+func subjectOf(rate float64, burst int64) []limits.Subject {
+	return []limits.Subject{{
+		Name:  "w",
+		Limit: limits.Limit{Rate: rate, Burst: burst},
+	}}
+}
+
+// sizes returns the millionths by VM and checks that the record can be stored.
+func sizes(record limits.Record) map[string]int64 {
+	GinkgoHelper()
+	data, err := record.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(limits.DecodeRecord(data)).To(Equal(record))
+	held := map[string]int64{}
+	for _, p := range record.Parts("w") {
+		held[p.VM] = p.Millionths
+	}
+	return held
+}
+
+func reconciled(record limits.Record, subjects []limits.Subject, fleet limits.Fleet) limits.Record {
+	GinkgoHelper()
+	changed, ok := limits.Reconcile(record, subjects, fleet).(limits.Changed)
+	Expect(ok).To(BeTrue())
+	return changed.Record
+}
+
+var _ = Describe("Bucket", func() {
+	It("starts empty and keeps no more than its capacity over a pause", func() {
+		// Guards against tokens that a frozen process mints.
+		b := limits.NewBucket(start, 4, 10)
+		Expect(b.Available(start)).To(BeZero())
+		Expect(b.Until(start, 1)).To(Equal(100 * time.Millisecond))
+		Expect(b.Until(start, 5)).To(Equal(limits.Never))
+		later := start.Add(time.Hour)
+		Expect(b.Take(later, 10)).To(Equal(int64(4)))
+		Expect(b.Take(start, 1)).To(BeZero())
+		Expect(b.Available(later.Add(150 * time.Millisecond))).To(Equal(int64(1)))
+	})
+})
+
+var _ = Describe("Limit", func() {
+	DescribeTable("has a number of holders",
+		// Guards against parts that are too small to hold a request.
+		func(rate float64, burst int64, want int) {
+			Expect(limits.Limit{Rate: rate, Burst: burst}.Holders()).To(Equal(want))
+		},
+		Entry("smallest", 10.0, int64(2), 1),
+		Entry("two parts", 10.0, int64(9), 2),
+		Entry("almost two", 10.0, int64(8), 1),
+		Entry("large", 100.0, int64(1000), 8),
+	)
+})
+
+var _ = Describe("Record", func() {
+	It("is shared evenly when it is new", func() {
+		record := reconciled(limits.Record{}, subjectOf(10, 100), fleetOf("a", "b", "c"))
+		Expect(sizes(record)).To(HaveLen(3))
+		Expect(record.Part("w", "a").Millionths).To(BeNumerically("~", 333_333, 1))
+		Expect(limits.Reconcile(record, subjectOf(10, 100), fleetOf("a", "b", "c"))).To(Equal(limits.Unchanged{}))
+	})
+
+	DescribeTable("moves a part only on proof",
+		// Guards against a part that is used by two VMs at once.
+		func(live, listed []string, gone bool, moves bool) {
+			record := reconciled(limits.Record{}, subjectOf(10, 100), fleetOf("a", "b"))
+			fleet := fleetOf(live...)
+			fleet.Listed = listed
+			fleet.Named = listed
+			fleet.Gone = map[string]bool{"b": gone}
+			change := limits.Reconcile(record, subjectOf(10, 100), fleet)
+			if !moves {
+				Expect(change).To(Equal(limits.Unchanged{}))
+				return
+			}
+			moved := change.(limits.Changed).Record
+			Expect(sizes(moved)).To(Equal(map[string]int64{"a": limits.Whole}))
+			Expect(moved.Part("w", "a").Epoch).To(Equal(record.Part("w", "a").Epoch))
+		},
+		Entry("dead, but still listed", []string{"a"}, []string{"a", "b"}, true, false),
+		Entry("live, but not listed", []string{"a", "b"}, []string{"a"}, true, false),
+		Entry("not listed for a short time", []string{"a"}, []string{"a"}, false, false),
+		Entry("gone", []string{"a"}, []string{"a"}, true, true),
+		Entry("no list", []string{"a"}, nil, false, false),
+	)
+
+	It("gives a new VM its part from the holders' own decisions", func() {
+		record := reconciled(limits.Record{}, subjectOf(10, 100), fleetOf("a"))
+		change := limits.Give(record, subjectOf(10, 100), fleetOf("a", "b"), "a").(limits.Changed)
+		Expect(sizes(change.Record)).To(Equal(map[string]int64{"a": 500_000, "b": 500_000}))
+		Expect(change.Shrinks).To(Equal([]limits.Shrink{{Subject: "w", Millionths: 500_000}}))
+		Expect(limits.Give(change.Record, subjectOf(10, 100), fleetOf("a", "b"), "a")).To(Equal(limits.Unchanged{}))
+	})
+
+	It("gathers parts that a lowered burst made too small", func() {
+		// Guards against parts of less than one token, which admit nothing.
+		record := reconciled(limits.Record{}, subjectOf(10, 100), fleetOf("a", "b", "c"))
+		for _, vm := range []string{"a", "b", "c"} {
+			if c, ok := limits.Give(record, subjectOf(1, 3), fleetOf("a", "b", "c"), vm).(limits.Changed); ok {
+				record = c.Record
+			}
+		}
+		Expect(sizes(record)).To(HaveLen(1))
+		Expect(sizes(record)).To(ContainElement(int64(limits.Whole)))
+	})
+
+	It("moves a leaving VM's parts, and raises the epoch of new holders", func() {
+		record := reconciled(limits.Record{}, subjectOf(1, 3), fleetOf("a"))
+		change := limits.Release(record, subjectOf(1, 3), fleetOf("a", "b"), "a").(limits.Changed)
+		Expect(sizes(change.Record)).To(Equal(map[string]int64{"b": limits.Whole}))
+		Expect(change.Record.Part("w", "b").Epoch).To(BeNumerically(">", record.Part("w", "a").Epoch))
+	})
+
+	DescribeTable("is refused if it breaks the bound",
+		func(data string) {
+			_, err := limits.DecodeRecord([]byte(data))
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("no JSON", `{`),
+		Entry("sum", `{"epoch":2,"subjects":[{"name":"w","parts":[{"vm":"a","millionths":600000,"epoch":1},{"vm":"b","millionths":600000,"epoch":2}]}]}`),
+		Entry("negative", `{"epoch":1,"subjects":[{"name":"w","parts":[{"vm":"a","millionths":-1,"epoch":1}]}]}`),
+		Entry("twice", `{"epoch":1,"subjects":[{"name":"w","parts":[{"vm":"a","millionths":1,"epoch":1},{"vm":"a","millionths":1,"epoch":1}]}]}`),
+	)
+})
+
+var _ = Describe("Loans", func() {
+	DescribeTable("are accepted within the bound",
+		func(after time.Duration, want bool) {
+			Expect(limits.Loan{Sent: start}.Accept(start.Add(after))).To(Equal(want))
+		},
+		Entry("at the bound", limits.LoanBound, true),
+		Entry("late", limits.LoanBound+1, false),
+	)
+
+	It("ask the lenders with the most tokens, as few as possible", func() {
+		lender := func(vm string, remaining int64) limits.Lender {
+			return limits.Lender{
+				VM:       vm,
+				Hint:     limits.Hint{At: start, Remaining: remaining, NextToken: time.Second},
+				Capacity: 10,
+				Rate:     1,
+			}
+		}
+		lenders := []limits.Lender{lender("a", 2), lender("b", 6), lender("c", 0)}
+		Expect(limits.Plan(start, 3, lenders)).To(Equal([]limits.Ask{{Lender: "b", Tokens: 3}}))
+		Expect(limits.Plan(start, 9, lenders)).To(Equal([]limits.Ask{{Lender: "b", Tokens: 6}, {Lender: "a", Tokens: 2}}))
+		Expect(limits.NextAsk(start, lenders[2:])).To(Equal(time.Second))
+	})
+})
+
+// TestWindows guards against any window that admits more than burst + rate x t
+// over three VMs that take, lend, pause, restart, join and leave.
+func TestWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		limit := limits.Limit{
+			Rate:  float64(rapid.IntRange(1, 50).Draw(t, "rate")),
+			Burst: int64(rapid.IntRange(6, 60).Draw(t, "burst")),
+		}
+		subjects := []limits.Subject{{Name: "w", Limit: limit}}
+		record, revision, now := limits.Record{}, uint64(0), start
+		shares := map[string]*limits.Share{}
+		for _, n := range names {
+			shares[n] = limits.NewShare(now, limit, 0)
+		}
+		var admitted []time.Time
+		vm := rapid.SampledFrom(names)
+		write := func(change limits.Change, writer string) {
+			if c, ok := change.(limits.Changed); ok {
+				for _, s := range c.Shrinks {
+					shares[writer].Shrink(now, s.Millionths, revision)
+				}
+				record = c.Record
+				revision++
+			}
+		}
+		admit := func(count int64) {
+			for range count {
+				admitted = append(admitted, now)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				admit(shares[vm.Draw(t, "vm")].Take(now, int64(rapid.IntRange(1, 20).Draw(t, "count"))))
+			},
+			"borrow": func(t *rapid.T) {
+				loan := limits.Loan{Sent: now}
+				granted := limits.Grant(now, shares[vm.Draw(t, "vm")], 5, 0)
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				if loan.Accept(now) {
+					admit(granted)
+				}
+			},
+			"load": func(t *rapid.T) {
+				n := vm.Draw(t, "vm")
+				shares[n].Apply(now, revision, record.Part("w", n))
+			},
+			"reconcile": func(t *rapid.T) {
+				write(limits.Reconcile(record, subjects, fleetOf(names[:rapid.IntRange(1, 3).Draw(t, "live")]...)), "")
+			},
+			"give": func(t *rapid.T) {
+				n := vm.Draw(t, "vm")
+				shares[n].Apply(now, revision, record.Part("w", n))
+				write(limits.Give(record, subjects, fleetOf(names...), n), n)
+			},
+			"release": func(t *rapid.T) {
+				n := vm.Draw(t, "vm")
+				shares[n].Apply(now, revision, record.Part("w", n))
+				write(limits.Release(record, subjects, fleetOf(names...), n), n)
+			},
+			"restart": func(t *rapid.T) {
+				shares[vm.Draw(t, "vm")] = limits.NewShare(now, limit, revision)
+			},
+			"": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+				checkWindows(t, limit, admitted)
+			},
+		})
+	})
+}
+
+func checkWindows(t *rapid.T, limit limits.Limit, admitted []time.Time) {
+	allowed := float64(limit.Burst)
+	for i, at := range admitted {
+		if i > 0 {
+			allowed = math.Min(allowed+limit.Rate*at.Sub(admitted[i-1]).Seconds(), float64(limit.Burst))
+		}
+		allowed--
+		if allowed < -1e-6 {
+			t.Fatal(fmt.Sprintf("request %d at %s exceeds the bound", i, at))
+		}
+	}
+}
--- /dev/null
+++ b/decision/limits/loan.go
@@ -0,0 +1,132 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxLenders is the number of holders that are asked at once.
+	maxLenders = 3
+	// hintLifetime is how long a lender's answer is relied on. Later the lender
+	// is asked again even if it is expected to be empty, because other borrowers
+	// may have stopped.
+	hintLifetime = time.Second
+)
+
+// Ask is a request for a loan.
+type Ask struct {
+	Lender string
+	Tokens int64
+}
+
+// Hint is what a borrower knows of a lender.
+type Hint struct {
+	// At is when the lender answered; the zero time if it never did.
+	At time.Time
+	// Remaining tokens after the answer.
+	Remaining int64
+	// NextToken is the time from the answer until the lender has another one.
+	NextToken time.Duration
+	// Failed marks a call without an answer in time.
+	Failed bool
+}
+
+// Lender is a holder that can be asked.
+type Lender struct {
+	VM   string
+	Hint Hint
+	// Capacity in tokens and rate in tokens per second of its part.
+	Capacity, Rate float64
+}
+
+// Loan is a call for tokens.
+type Loan struct {
+	// Sent is the borrower's reading just before it sent the call.
+	Sent time.Time
+}
+
+// Accept tells whether a loan that arrives now may be spent. A late one is
+// discarded: its tokens would exceed the bound in a window that began after they
+// were debited.
+func (l Loan) Accept(now time.Time) bool {
+	return now.Sub(l.Sent) <= LoanBound
+}
+
+// Grant debits a loan from the lender's share and returns the tokens granted. The
+// lender's own waiting requests go first. It must be called before the lender
+// answers.
+func Grant(now time.Time, share *Share, asked, waiting int64) int64 {
+	spare := share.Available(now) - max(waiting, 0)
+	return share.Take(now, min(asked, spare))
+}
+
+// Expected estimates the tokens of a lender after a wait. A lender that has not
+// answered lately is expected to have one.
+func (l Lender) Expected(now time.Time, wait time.Duration) float64 {
+	if l.Hint.At.IsZero() || now.Sub(l.Hint.At) > hintLifetime {
+		return max(l.Capacity, 1)
+	}
+	if l.Hint.Failed {
+		return 0
+	}
+	since := now.Sub(l.Hint.At) + wait - l.Hint.NextToken
+	tokens := float64(l.Hint.Remaining)
+	if since >= 0 {
+		tokens += 1 + l.Rate*since.Seconds()
+	}
+	return min(tokens, l.Capacity)
+}
+
+// Plan chooses the lenders to ask now for a number of tokens: those with the most
+// tokens expected, as few as cover the demand.
+func Plan(now time.Time, demand int64, lenders []Lender) []Ask {
+	sorted := slices.Clone(lenders)
+	slices.SortStableFunc(sorted, func(a, b Lender) int {
+		return cmp.Compare(b.Expected(now, 0), a.Expected(now, 0))
+	})
+	var asks []Ask
+	for _, l := range sorted {
+		expected := int64(l.Expected(now, 0))
+		if demand <= 0 || expected < 1 || len(asks) == maxLenders {
+			break
+		}
+		tokens := min(demand, expected)
+		asks = append(asks, Ask{
+			Lender: l.VM,
+			Tokens: tokens,
+		})
+		demand -= tokens
+	}
+	return asks
+}
+
+// NextAsk returns the time until a lender is expected to have a token.
+func NextAsk(now time.Time, lenders []Lender) time.Duration {
+	next := Never
+	for _, l := range lenders {
+		if l.Expected(now, 0) >= 1 {
+			return 0
+		}
+		expires := hintLifetime - now.Sub(l.Hint.At)
+		if l.Hint.Failed {
+			next = min(next, expires)
+			continue
+		}
+		next = min(next, expires, max(l.Hint.NextToken-now.Sub(l.Hint.At), 0))
+	}
+	return next
+}
+
+// Fits tells whether a further request can expect a token within the wait, behind
+// the requests that already wait.
+func Fits(now time.Time, wait time.Duration, waiting int64, share *Share, lenders []Lender) bool {
+	_, rate := share.limit.Of(share.Millionths())
+	share.bucket.refill(now)
+	expected := share.bucket.tokens + rate*wait.Seconds()
+	for _, l := range lenders {
+		expected += l.Expected(now, wait)
+	}
+	return float64(waiting+1) <= expected+rounding
+}
