Add the operators' command line

Cause: operators validate, plan and apply declarations and change keys, presets, workspaces and endpoints under live traffic. Change: amaranthctl with one file for each command. A change keeps its id over all proxies and rounds, waits until every live VM reports the version, and ends with an exit code for each result. Keys that a file does not list are kept; the secret of a new key is written once, and only if the change was accepted. Conclusion: scripts can tell done, conflict, not everywhere and unknown apart.

--- /dev/null
+++ b/amaranthctl/commands/commands_test.go
@@ -0,0 +1,232 @@
+package commands_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/amaranthctl/commands"
+	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
+	operatorv1 "amaranthdock.dev/api/amaranthdock/operator/v1"
+	"amaranthdock.dev/api/amaranthdock/operator/v1/operatorv1connect"
+	"amaranthdock.dev/declaration"
+	"amaranthdock.dev/timer"
+)
+
+func TestCommands(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "amaranthctl/commands")
+}
+
+const declarationFile = "../../declaration/testdata/valid.yaml"
+
+// fakeProxy keeps a document and makes the faults that its fields name.
+type fakeProxy struct {
+	operatorv1connect.UnimplementedOperatorServiceHandler
+
+	mu          sync.Mutex
+	document    *declaration.Document
+	loseAnswers int
+	conflict    bool
+	behind      bool
+	// refuseRepeats ends every call after the first one without an answer.
+	refuseRepeats bool
+	ids           []string
+}
+
+func (p *fakeProxy) GetConfiguration(context.Context, *operatorv1.GetConfigurationRequest) (*operatorv1.GetConfigurationResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	plain, err := json.Marshal(p.document)
+	return &operatorv1.GetConfigurationResponse{
+		Document: plain,
+		Version:  p.document.Version,
+	}, err
+}
+
+func (p *fakeProxy) ChangeConfiguration(_ context.Context, r *operatorv1.ChangeConfigurationRequest) (*operatorv1.ChangeConfigurationResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ids = append(p.ids, r.GetChangeId())
+	if p.refuseRepeats && len(p.ids) > 1 {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the connection was lost"))
+	}
+	if accepted, found := declaration.FindChange(p.document, r.GetChangeId()); found {
+		return &operatorv1.ChangeConfigurationResponse{
+			Version:  accepted.Version,
+			Repeated: true,
+		}, nil
+	}
+	if p.conflict || r.GetExpectedVersion() != p.document.Version {
+		failure := connect.NewError(connect.CodeAborted, errors.New("version 2 is by Anna: add a workspace"))
+		detail, err := connect.NewErrorDetail(&callerv1.Refusal{
+			Outcome: callerv1.Outcome_OUTCOME_NOT_RUN,
+			Reason:  "versionConflict",
+		})
+		if err != nil {
+			return nil, err
+		}
+		failure.AddDetail(detail)
+		return nil, failure
+	}
+	document := &declaration.Document{}
+	if err := json.Unmarshal(r.GetDocument(), document); err != nil {
+		return nil, err
+	}
+	declaration.AppendChange(document, declaration.Change{
+		ID:      r.GetChangeId(),
+		Version: p.document.Version + 1,
+	})
+	p.document = document
+	if p.loseAnswers > 0 {
+		p.loseAnswers--
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the connection was lost"))
+	}
+	return &operatorv1.ChangeConfigurationResponse{Version: document.Version}, nil
+}
+
+func (p *fakeProxy) ListVersions(context.Context, *operatorv1.ListVersionsRequest) (*operatorv1.ListVersionsResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	response := &operatorv1.ListVersionsResponse{}
+	for _, name := range []string{"vm-1", "vm-2"} {
+		response.Vms = append(response.Vms, &operatorv1.VmVersion{
+			Vm:       name,
+			Version:  p.document.Version,
+			Answered: !p.behind || name == "vm-1",
+		})
+	}
+	return response, nil
+}
+
+var _ = Describe("Run", func() {
+	var (
+		server  *fakeProxy
+		address string
+		output  *bytes.Buffer
+		failure *bytes.Buffer
+	)
+
+	BeforeEach(func() {
+		source, err := os.ReadFile(declarationFile)
+		Expect(err).NotTo(HaveOccurred())
+		document, err := declaration.Parse(declarationFile, source)
+		Expect(err).NotTo(HaveOccurred())
+		document.Version = 1
+		server = &fakeProxy{document: document}
+		mux := http.NewServeMux()
+		mux.Handle(operatorv1connect.NewOperatorServiceHandler(server))
+		listener := httptest.NewUnstartedServer(mux)
+		listener.Config.Protocols = &http.Protocols{}
+		listener.Config.Protocols.SetUnencryptedHTTP2(true)
+		listener.Start()
+		DeferCleanup(listener.Close)
+		address = strings.TrimPrefix(listener.URL, "http://")
+	})
+
+	run := func(arguments ...string) int {
+		GinkgoHelper()
+		clock := timer.NewManual(timer.ManualConfig{})
+		output = &bytes.Buffer{}
+		failure = &bytes.Buffer{}
+		codes := make(chan int, 1)
+		go func() {
+			codes <- commands.Run(commands.Config{
+				Arguments: append([]string{"--proxy", address, "--author", "test"}, arguments...),
+				Output:    output,
+				Errors:    failure,
+				Timer:     clock,
+				Exit:      func(int) {},
+			})
+		}()
+		var code int
+		Eventually(func() chan int {
+			// The calls cross a real listener, so the time moves no faster than
+			// the machine's, which keeps the attempts' timeouts out of reach.
+			clock.Advance(time.Millisecond)
+			return codes
+		}, 60*time.Second, time.Millisecond).Should(Receive(&code))
+		return code
+	}
+
+	// expectExit guards against exit codes that scripts would take wrongly.
+	expectExit := func(code int, message string, arguments ...string) {
+		GinkgoHelper()
+		Expect(run(arguments...)).To(Equal(code), failure.String())
+		Expect(output.String() + failure.String()).To(ContainSubstring(message))
+	}
+
+	DescribeTable("returns the exit code of the result",
+		func(prepare func(), code int, message string, arguments ...string) {
+			prepare()
+			expectExit(code, message, arguments...)
+		},
+		Entry("done", func() {}, 0, "true", "preset", "use", "peak"),
+		Entry("lost answer", func() { server.loseAnswers = 1 }, 0, "true", "endpoint", "drain", "main-1"),
+		Entry("unknown preset", func() {}, 1, `preset "none"`, "preset", "use", "none"),
+		Entry("invalid edit", func() {}, 1, "workspaces[2].rate", "workspace", "set", "gamma"),
+		Entry("unknown command", func() {}, 2, "expected command", "fly"),
+		Entry("conflict", func() { server.conflict = true }, 3, "by Anna: add a workspace", "key", "revoke", "k1"),
+		Entry("expected version", func() {}, 3, "version 7 was expected", "apply", declarationFile, "--expect-version", "7"),
+		Entry("VM behind", func() { server.behind = true }, 4, "not yet on: vm-2", "key", "withdraw", "k1", "--wait", "300ms"),
+		Entry("valid file", func() {}, 0, "is valid", "validate", declarationFile),
+		Entry("versions", func() {}, 0, "vm-2  1        true", "versions"),
+	)
+
+	It("tries the next proxy, and keeps the change id", func() {
+		dead := httptest.NewServer(http.NotFoundHandler())
+		dead.Close()
+		address = strings.TrimPrefix(dead.URL, "http://") + "," + address
+		server.loseAnswers = 1
+		expectExit(0, "true", "preset", "use", "peak")
+		Expect(server.ids).To(HaveLen(2))
+		Expect(server.ids[0]).To(Equal(server.ids[1]))
+		Expect(server.document.PresetInForce).To(Equal("peak"))
+	})
+
+	It("reports an unknown outcome as such", func() {
+		server.refuseRepeats = true
+		server.loseAnswers = 1
+		expectExit(5, "may exist, revoke it", "key", "create", "beta")
+		Expect(output.String()).NotTo(ContainSubstring("ad_"))
+	})
+
+	It("shows a new key once", func() {
+		expectExit(0, "ad_", "--output", "json", "key", "create", "beta")
+		var result struct {
+			Key string `json:"key"`
+		}
+		Expect(json.Unmarshal(output.Bytes(), &result)).To(Succeed())
+		id, secret, ok := declaration.SplitKey(result.Key)
+		Expect(ok).To(BeTrue())
+		for _, command := range [][]string{{"show"}, {"key", "list"}, {"show", "--output", "json"}} {
+			expectExit(0, id, command...)
+			Expect(output.String()).NotTo(ContainSubstring(secret))
+		}
+	})
+
+	It("keeps keys that a file does not list", func() {
+		source, err := os.ReadFile(declarationFile)
+		Expect(err).NotTo(HaveOccurred())
+		start := strings.Index(string(source), "    keys:")
+		end := strings.Index(string(source), "  - name: beta")
+		file := filepath.Join(GinkgoT().TempDir(), "d.yaml")
+		Expect(os.WriteFile(file, []byte(string(source[:start])+string(source[end:])), 0o600)).To(Succeed())
+		expectExit(0, "0 changes to version 1", "plan", file)
+		expectExit(0, "true", "apply", file)
+		Expect(server.document.Workspaces[0].Keys).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/amaranthctl/commands/output.go
@@ -0,0 +1,40 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+)
+
+// The formats of the output.
+const (
+	outputJSON  = "json"
+	outputTable = "table"
+)
+
+// print writes rows below a header, or the value as JSON.
+func (a *app) print(header []string, rows [][]string, value any) error {
+	if a.output == outputJSON {
+		return a.printJSON(value)
+	}
+	writer := tabwriter.NewWriter(a.config.Output, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{header}, rows...) {
+		if _, err := fmt.Fprintln(writer, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return writer.Flush()
+}
+
+func (a *app) printJSON(value any) error {
+	encoder := json.NewEncoder(a.config.Output)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// printText writes text as it is.
+func (a *app) printText(text []byte) error {
+	_, err := a.config.Output.Write(text)
+	return err
+}
--- /dev/null
+++ b/amaranthctl/commands/show.go
@@ -0,0 +1,27 @@
+package commands
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"amaranthdock.dev/declaration"
+)
+
+func (a *app) addShow(k *kingpin.Application) {
+	command := k.Command("show", "Write the configuration as YAML; keys appear as hashes.")
+	command.Action(a.action(func(ctx context.Context) error {
+		document, err := a.current(ctx)
+		if err != nil {
+			return err
+		}
+		if a.output == outputJSON {
+			return a.printJSON(document)
+		}
+		formatted, err := declaration.Format(document)
+		if err != nil {
+			return err
+		}
+		return a.printText(formatted)
+	}))
+}
--- /dev/null
+++ b/amaranthctl/commands/status.go
@@ -0,0 +1,73 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	operatorv1 "amaranthdock.dev/api/amaranthdock/operator/v1"
+	"amaranthdock.dev/api/amaranthdock/operator/v1/operatorv1connect"
+)
+
+func (a *app) addStatus(k *kingpin.Application) {
+	command := k.Command("status", "Show a proxy's view of the fleet and the databases.")
+	command.Action(a.action(func(ctx context.Context) error {
+		status, err := read(ctx, a, func(ctx context.Context, client operatorv1connect.OperatorServiceClient) (*operatorv1.GetStatusResponse, error) {
+			return client.GetStatus(ctx, &operatorv1.GetStatusRequest{})
+		})
+		if err != nil {
+			return err
+		}
+		return a.printStatus(status)
+	}))
+}
+
+func (a *app) printStatus(status *operatorv1.GetStatusResponse) error {
+	if a.output == outputJSON {
+		return a.printText([]byte(protojson.MarshalOptions{
+			Multiline:       true,
+			EmitUnpopulated: true,
+		}.Format(status) + "\n"))
+	}
+	text := fmt.Sprintf("%s: version %d, preset %s, authorized %t, authority age %s\n\n", status.GetVm(),
+		status.GetConfigurationVersion(), status.GetPreset(), status.GetAuthorized(), status.GetAuthorityAge().AsDuration())
+	if err := a.printText([]byte(text)); err != nil {
+		return err
+	}
+	var vms [][]string
+	for _, vm := range status.GetVms() {
+		vms = append(vms, []string{vm.GetVm(), vm.GetPlace(), vm.GetState(), fmt.Sprint(vm.GetIncarnation())})
+	}
+	if err := a.print([]string{"VM", "PLACE", "STATE", "INCARNATION"}, vms, nil); err != nil {
+		return err
+	}
+	if err := a.printText([]byte("\n")); err != nil {
+		return err
+	}
+	var members [][]string
+	for _, database := range status.GetDatabases() {
+		for _, member := range database.GetMembers() {
+			members = append(members, memberRow(database, member))
+		}
+	}
+	return a.print([]string{"DATABASE", "TERM", "ENDPOINT", "ROLE", "REACHABLE", "POSITION", "AGE", "HOME"}, members, nil)
+}
+
+func memberRow(database *operatorv1.DatabaseStatus, member *operatorv1.MemberStatus) []string {
+	age := "-"
+	if member.GetAge() != nil {
+		age = member.GetAge().AsDuration().String()
+	}
+	return []string{
+		database.GetDatabase(),
+		fmt.Sprint(database.GetTerm()),
+		member.GetEndpoint(),
+		member.GetRole(),
+		fmt.Sprint(member.GetReachable()),
+		fmt.Sprintf("%d/%d", member.GetTerm(), member.GetIndex()),
+		age,
+		member.GetHome(),
+	}
+}
--- a/amaranthctl/main.go
+++ b/amaranthctl/main.go
@@ -1,4 +1,19 @@
-// Command amaranthctl is not built yet.
+// Command amaranthctl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"amaranthdock.dev/amaranthctl/commands"
+	"amaranthdock.dev/timer"
+)
+
+func main() {
+	os.Exit(commands.Run(commands.Config{
+		Arguments: os.Args[1:],
+		Output:    os.Stdout,
+		Errors:    os.Stderr,
+		Timer:     timer.NewSystem(),
+		Exit:      os.Exit,
+	}))
+}
--- a/proxy/operator/operator_test.go
+++ b/proxy/operator/operator_test.go
@@ -159,6 +159,7 @@
 	// change runs a call and moves the time until it ends.
 	change := func(id string, expected uint64) (response *operatorv1.ChangeConfigurationResponse, err error) {
 		GinkgoHelper()
+		Eventually(clock.Subscribers).Should(BeZero())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -171,7 +172,10 @@
 			})
 		}()
 		Eventually(func() chan struct{} {
-			clock.Advance(50 * time.Millisecond)
+			// Two subscribers: the call's deadline and its wait before a retry.
+			if clock.Subscribers() == 2 {
+				clock.Advance(50 * time.Millisecond)
+			}
 			return done
 		}, 10*time.Second, time.Millisecond).Should(BeClosed())
 		return response, err
