Add example declarations and proxy settings of both deployments

Cause: operators need a complete declaration to start from, and the checks need documents of the real shape. Ruled out: session keys and workspace keys in the examples, because an example key would end up in use. Measured: tests parse all four files and put each preset in force.

--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -93,6 +93,23 @@
 	})
 })
 
+var _ = DescribeTable("examples are valid and have the shape of their deployments",
+	func(file string) {
+		source, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		document, err := declaration.Parse(file, source)
+		Expect(err).NotTo(HaveOccurred())
+		snapshot := declaration.NewSnapshot(document)
+		Expect(snapshot.Databases()).To(HaveLen(3))
+		Expect(document.Workspaces).To(HaveLen(8))
+		for _, name := range []string{"ordinary", "peak", "maintenance"} {
+			Expect(declaration.UsePreset(document, name)).To(Succeed())
+		}
+	},
+	Entry(nil, "../examples/saltmyri/declaration.yaml"),
+	Entry(nil, "../examples/hladnik/declaration.yaml"),
+)
+
 var _ = Describe("Encode", func() {
 	It("restores the document", func() {
 		document := parseValid()
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -111,6 +111,18 @@
 	)
 })
 
+var _ = DescribeTable("examples are valid",
+	func(file string) {
+		source, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		parsed, err := settings.Parse(file, source)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.SeedPeers).To(HaveLen(6))
+	},
+	Entry(nil, "../examples/saltmyri/proxy.yaml"),
+	Entry(nil, "../examples/hladnik/proxy.yaml"),
+)
+
 var _ = Describe("Load", func() {
 	var directory, file string
 
