--- a/amaranthctl/commands/commands_test.go
+++ b/amaranthctl/commands/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -204,6 +205,24 @@
 		Expect(output.String()).NotTo(ContainSubstring("ad_"))
 	})
 
+	It("checks the proxies' certificates", func() {
+		mux := http.NewServeMux()
+		mux.Handle(operatorv1connect.NewOperatorServiceHandler(server))
+		listener := httptest.NewUnstartedServer(mux)
+		listener.EnableHTTP2 = true
+		listener.StartTLS()
+		defer listener.Close()
+		address = strings.TrimPrefix(listener.URL, "https://")
+		trusted := filepath.Join(GinkgoT().TempDir(), "ca.pem")
+		Expect(os.WriteFile(trusted, pem.EncodeToMemory(&pem.Block{
+			Type:  "CERTIFICATE",
+			Bytes: listener.Certificate().Raw,
+		}), 0o600)).To(Succeed())
+		expectExit(0, "peak", "preset", "show", "--ca-file", trusted)
+		expectExit(1, "ca.pem", "preset", "show", "--ca-file", trusted+".absent")
+		Expect(run("preset", "show")).To(Equal(1))
+	})
+
 	It("shows a new key once", func() {
 		expectExit(0, "ad_", "--output", "json", "key", "create", "beta")
 		var result struct {
