--- a/decision/confsync/state.go
+++ b/decision/confsync/state.go
@@ -161,11 +161,16 @@
 // Digest returns what this VM tells its peers.
 func (s *State) Digest(now time.Time) Digest {
 	age, ok := s.Age(now)
+	store := s.store
+	// An old failure must not support the claim of another watcher.
+	if store == StoreOut && s.failed.Before(now.Add(-s.config.ConsultationLimit)) {
+		store = StoreUnwatched
+	}
 	return Digest{
 		Version:  s.version,
 		Age:      age,
 		AgeKnown: ok,
-		Store:    s.store,
+		Store:    store,
 	}
 }
 
@@ -232,7 +237,10 @@
 // to this VM, that the store is out for it too, and no VM of any region may have
 // reported a success. Partitions mostly follow places: a place of the region
 // without any live VM may hold the store together with VMs that still change
-// the configuration, so every known place has to have a live VM.
+// the configuration, so every known place has to have a live VM. The claim may
+// be late by the consultation limit, if the store comes back between a failure
+// and the next call. It does not cover a change that was made between the last
+// success and the outage by a VM that failed before it told any watcher.
 func (s *State) claim(now time.Time) (time.Time, bool) {
 	if !s.watching || s.store != StoreOut || s.version == 0 || s.version < s.heard {
 		return time.Time{}, false
--- /dev/null
+++ b/decision/confsync/state_test.go
@@ -0,0 +1,228 @@
+package confsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthdock.dev/decision/routing"
+)
+
+func TestConfsync(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "confsync")
+}
+
+var start = time.Unix(1000, 0)
+
+func at(elapsed time.Duration) time.Time { return start.Add(elapsed) }
+
+func vm(name, place string) routing.VM {
+	return routing.VM{
+		Name:   name,
+		Place:  place,
+		Region: place[:1],
+	}
+}
+
+func newState(self routing.VM) *State {
+	state, err := New(Config{
+		Self:        self,
+		Key:         "configuration",
+		StoreRegion: "a",
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return state
+}
+
+// watchers returns two watchers of region a in different places, one of region
+// b, and the fleet that consists of them.
+func watchers() (self, other, far routing.VM, fleet []Known) {
+	self, other, far = vm("w1", "a1"), vm("w2", "a2"), vm("w3", "b1")
+	for _, v := range []routing.VM{self, other, far} {
+		fleet = append(fleet, Known{
+			VM:   v,
+			Live: true,
+		})
+	}
+	return self, other, far, fleet
+}
+
+// expectAge guards against an authority that is claimed without evidence.
+func expectAge(state *State, now time.Time, expected time.Duration) {
+	GinkgoHelper()
+	age, ok := state.Age(now)
+	Expect(ok).To(BeTrue())
+	Expect(age).To(Equal(expected))
+}
+
+var _ = Describe("State", func() {
+	It("has no authority without a version", func() {
+		state := newState(vm("w1", "a1"))
+		state.SetFleet([]Known{{VM: vm("w1", "a1"), Live: true}})
+		state.StoreFailed(start)
+		Expect(state.Authorized(start)).To(BeFalse())
+		Expect(state.Accept(1)).To(BeTrue())
+		Expect(state.Authorized(at(5 * time.Second))).To(BeFalse())
+	})
+
+	It("adds its own time to an age it was told, from the sending on", func() {
+		state := newState(vm("x", "b1"))
+		state.Accept(3)
+		state.AnswerReceived(start, "w1", Digest{Version: 3, Age: time.Second, AgeKnown: true})
+		expectAge(state, at(2*time.Second), 3*time.Second)
+		Expect(state.Authorized(at(3 * time.Second))).To(BeTrue())
+		Expect(state.Authorized(at(3*time.Second + 1))).To(BeFalse())
+		state.AnswerReceived(start, "w2", Digest{Version: 3, Age: 2 * time.Second, AgeKnown: true})
+		expectAge(state, at(2*time.Second), 3*time.Second)
+		state.AnswerReceived(at(time.Second), "w2", Digest{Version: 2, AgeKnown: true})
+		expectAge(state, at(2*time.Second), 3*time.Second)
+	})
+
+	It("uses the age of a higher version only once it has the version", func() {
+		state := newState(vm("x", "b1"))
+		state.Accept(3)
+		decision := state.AnswerReceived(start, "w1", Digest{Version: 4, AgeKnown: true})
+		Expect(decision).To(Equal(Fetch{NewerThan: 3}))
+		Expect(state.Authorized(start)).To(BeFalse())
+		Expect(state.Accept(4)).To(BeTrue())
+		expectAge(state, at(time.Second), time.Second)
+	})
+
+	It("never accepts less than it has heard of, nor a stale store", func() {
+		state := newState(vm("x", "b1"))
+		Expect(state.Heard(9)).To(Equal(Fetch{}))
+		Expect(state.Accept(8)).To(BeFalse())
+		Expect(state.Accept(9)).To(BeTrue())
+		Expect(state.Heard(8)).To(Equal(None{}))
+		Expect(state.StoreAnswered(start, 8)).To(BeFalse())
+		Expect(state.Authorized(start)).To(BeFalse())
+		Expect(state.StoreAnswered(start, 9)).To(BeTrue())
+		expectAge(state, start, 0)
+	})
+
+	It("chooses two watchers in each region", func() {
+		var live []routing.VM
+		for i := range 40 {
+			live = append(live, vm(fmt.Sprintf("vm%d", i), []string{"a1", "a2", "b1", "c1"}[i%4]))
+		}
+		counts := map[string]int{}
+		for _, w := range Watchers("configuration", live, 2) {
+			counts[w.Region]++
+		}
+		Expect(counts).To(Equal(map[string]int{"a": 2, "b": 2, "c": 2}))
+	})
+
+	DescribeTable("claims age 0 in an outage only if nobody can change anything",
+		func(change func(state *State, fleet []Known), claimed bool) {
+			self, other, far, fleet := watchers()
+			state := newState(self)
+			state.SetFleet(fleet)
+			state.Accept(1)
+			state.StoreAnswered(start, 1)
+			now := at(10 * time.Second)
+			state.StoreFailed(now.Add(-time.Second))
+			state.AnswerReceived(now, other.Name, Digest{Version: 1, Store: StoreOut})
+			state.AnswerReceived(now, far.Name, Digest{Version: 1, Store: StoreOut})
+			change(state, fleet)
+			Expect(state.Authorized(now)).To(Equal(claimed))
+		},
+		Entry("store out for all", func(*State, []Known) {}, true),
+		Entry("other watcher reaches it", func(s *State, _ []Known) {
+			s.AnswerReceived(at(10*time.Second), "w2", Digest{Version: 1, Store: StoreReachable})
+		}, false),
+		Entry("watcher of another region reaches it", func(s *State, _ []Known) {
+			s.AnswerReceived(at(10*time.Second), "w3", Digest{Version: 1, Store: StoreReachable})
+		}, false),
+		Entry("other watcher has not answered", func(s *State, _ []Known) { delete(s.reports, "w2") }, false),
+		Entry("other watcher answered long ago", func(s *State, _ []Known) {
+			s.AnswerReceived(at(7*time.Second), "w2", Digest{Version: 1, Store: StoreOut})
+		}, false),
+		Entry("a place of the region is out of reach", func(s *State, fleet []Known) {
+			fleet[1].Live = false
+			s.SetFleet(fleet)
+		}, false),
+		Entry("another region is out of reach", func(s *State, fleet []Known) {
+			fleet[2].Live = false
+			s.SetFleet(fleet)
+		}, true),
+		Entry("a newer version exists", func(s *State, _ []Known) { s.Heard(2) }, false),
+		Entry("own failure before a pause", func(s *State, _ []Known) { s.failed = at(5 * time.Second) }, false),
+		Entry("not joined", func(s *State, _ []Known) { s.SetFleet(nil) }, false),
+	)
+
+	It("takes the age of a watcher that reaches the store", func() {
+		self, other, _, fleet := watchers()
+		state := newState(self)
+		state.SetFleet(fleet)
+		state.Accept(1)
+		state.StoreFailed(start)
+		Expect(state.Consult()).To(HaveLen(2))
+		state.AnswerReceived(start, other.Name, Digest{Version: 1, Age: time.Second, AgeKnown: true, Store: StoreReachable})
+		expectAge(state, start, time.Second)
+	})
+})
+
+// TestNoRevert guards G13 on a fleet that pushes, fetches, reads stale entries
+// and restarts in any order: no version reverts, and no VM that is authorized is
+// behind a change for longer than the limits. The store goes out at times; the
+// first watcher fails to reach it at other times too. The watchers hear of a
+// change from the VM that made it, as by its push.
+func TestNoRevert(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		self, other, far, fleet := watchers()
+		names := []routing.VM{self, other, far, vm("x", "b1")}
+		states := make([]*State, len(names))
+		for i, v := range names {
+			states[i] = newState(v)
+			states[i].SetFleet(fleet)
+		}
+		now, changed, store, out := start, []time.Time{start, start}, uint64(1), false
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "elapsed")) * time.Millisecond)
+			i := rapid.IntRange(0, len(states)-1).Draw(t, "vm")
+			peer := rapid.IntRange(0, len(states)-1).Draw(t, "peer")
+			s, before := states[i], states[i].Version()
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0:
+				if !out {
+					store++
+					changed = append(changed, now)
+					states[0].Heard(store)
+					states[1].Heard(store)
+				}
+			case 1, 2:
+				switch {
+				case out || (i == 0 && rapid.Bool().Draw(t, "cut")):
+					s.StoreFailed(now)
+				default:
+					s.Accept(store)
+					s.StoreAnswered(now, store)
+				}
+			case 6:
+				out = !out
+			case 7:
+				stale := rapid.Uint64Range(1, store).Draw(t, "stale")
+				s.Accept(stale)
+				s.StoreAnswered(now.Add(-time.Hour), stale)
+			case 3, 4:
+				s.AnswerReceived(now, names[peer].Name, states[peer].Digest(now))
+				s.Accept(states[peer].Version())
+			case 5:
+				states[i] = newState(names[i])
+				continue
+			}
+			if s.Version() < before {
+				t.Fatalf("%s reverted from %d to %d", names[i].Name, before, s.Version())
+			}
+			if v := s.Version(); v < store && s.Authorized(now) && now.Sub(changed[v+1]) > DefaultAuthorityLimit+DefaultConsultationLimit {
+				t.Fatalf("%s is authorized with version %d, %s after version %d", names[i].Name, v, now.Sub(changed[v+1]), v+1)
+			}
+		}
+	})
+}
--- a/decision/membership/config.go
+++ b/decision/membership/config.go
@@ -25,9 +25,12 @@
 	DefaultSuspicionTimeout = 600 * time.Millisecond
 	// DefaultTransmitFactor times the logarithm of the fleet's size is the
 	// number of times that one VM sends an update.
-	DefaultTransmitFactor = 3
+	DefaultTransmitFactor = 2
 	// DefaultUpdatesPerMessage bounds the records in one message.
 	DefaultUpdatesPerMessage = 8
+	// DefaultUrgentProbes is the number of extra probes that spread a suspicion
+	// or a death.
+	DefaultUrgentProbes = 3
 	// minUpdatesPerMessage leaves room for the sender's own record, that of a
 	// receiver under suspicion, one queued update and one of the table.
 	minUpdatesPerMessage = 4
@@ -50,6 +53,7 @@
 	SuspicionTimeout  time.Duration
 	TransmitFactor    int
 	UpdatesPerMessage int
+	UrgentProbes      int
 }
 
 func (c Config) validate() error {
@@ -74,6 +78,7 @@
 	defaultTo(&c.SuspicionTimeout, DefaultSuspicionTimeout)
 	defaultTo(&c.TransmitFactor, DefaultTransmitFactor)
 	defaultTo(&c.UpdatesPerMessage, DefaultUpdatesPerMessage)
+	defaultTo(&c.UrgentProbes, DefaultUrgentProbes)
 	c.UpdatesPerMessage = max(c.UpdatesPerMessage, minUpdatesPerMessage)
 	return c
 }
--- a/decision/membership/probing.go
+++ b/decision/membership/probing.go
@@ -42,6 +42,7 @@
 		suspect := e.Member
 		suspect.State = Suspect
 		t.apply(now, suspect)
+		t.urgent = true
 	}
 	return None{}
 }
@@ -58,8 +59,9 @@
 		death := t.members[vm].Member
 		death.State = Dead
 		t.apply(now, death)
+		t.urgent = true
 	}
-	var decisions []Decision
+	decisions := t.spreadUrgent(now)
 	if !now.Before(t.nextProbe) {
 		t.nextProbe = now.Add(t.config.ProbeInterval)
 		if peer, ok := t.nextPeer(); ok {
@@ -142,6 +144,25 @@
 	}
 }
 
+// spreadUrgent probes some more peers after this VM has itself suspected a
+// member or declared it dead, so that all VMs agree about a round of probes
+// earlier. The extra probes of one VM are bounded for each probe interval.
+func (t *Table) spreadUrgent(now time.Time) []Decision {
+	if !t.urgent || now.Before(t.nextUrgent) {
+		return nil
+	}
+	t.urgent = false
+	t.nextUrgent = now.Add(t.config.ProbeInterval)
+	var decisions []Decision
+	for _, peer := range t.sample(t.config.UrgentProbes, "") {
+		decisions = append(decisions, ProbePeer{
+			ID:   t.track(now, peer, false),
+			Peer: peer,
+		})
+	}
+	return decisions
+}
+
 func (t *Table) track(now time.Time, peer Member, indirect bool) uint64 {
 	t.lastProbe++
 	t.probes[t.lastProbe] = &probe{
--- a/decision/membership/table.go
+++ b/decision/membership/table.go
@@ -36,6 +36,10 @@
 	queue         []*broadcast
 	queued        map[string]*broadcast
 	revision      uint64
+	// urgent is set when this VM itself has suspected a member or declared it
+	// dead; nextUrgent is the earliest time of the next extra probes.
+	urgent     bool
+	nextUrgent time.Time
 }
 
 type entry struct {
--- a/proxy/gossip/start.go
+++ b/proxy/gossip/start.go
@@ -24,17 +24,14 @@
 // startRound returns whether membership and configuration are settled. With the
 // store out, that takes a peer that has the newest version heard of.
 func (p *Part) startRound(ctx context.Context) bool {
-	var storeErr error
 	var group errgroup.Group
-	group.Go(func() error {
-		storeErr = p.readStore(ctx)
-		return nil
-	})
+	group.Go(func() error { return p.readStore(ctx) })
 	if err := p.readList(ctx); err != nil {
 		p.config.Logger.V(1).Info("gossip: start without the platform list", "error", err.Error())
 	}
 	answered := p.join(ctx)
-	if err := group.Wait(); err != nil || storeErr != nil {
+	storeErr := group.Wait()
+	if storeErr != nil {
 		p.config.Logger.V(1).Info("gossip: start without the store", "error", storeErr.Error())
 	}
 	joined := p.endJoin(answered)
