--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -1,4 +1,66 @@
-// Command loadtool is not built yet.
+// Command loadtool runs the demo, loads and benchmarks.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"amaranthdock.dev/loadtool/demo"
+	"amaranthdock.dev/loadtool/harness"
+	"amaranthdock.dev/timer"
+)
+
+func main() {
+	app := kingpin.New("loadtool", "Demo, load and benchmarks of amaranthdock.")
+	app.HelpFlag.Short('h')
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	addDemo(ctx, app)
+	addServe(ctx, app)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+}
+
+func addDemo(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("demo", "Start a deployment, run work, kill a proxy and a primary, and check every record.")
+	config := demo.Config{
+		Output: os.Stdout,
+		Timer:  timer.NewSystem(),
+	}
+	shape := addShape(command)
+	command.Flag("bin", "Directory of the programs.").Default("bin").StringVar(&config.BinDir)
+	command.Flag("duration", "Length of the work.").Default("20s").DurationVar(&config.Duration)
+	command.Flag("seed", "Seed of the work.").Default("1").Uint64Var(&config.Seed)
+	command.Action(func(*kingpin.ParseContext) error {
+		config.Shape = shapeOf(*shape)
+		return demo.Run(ctx, config)
+	})
+}
+
+func addServe(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("serve", "Start a deployment, print how to reach it, and run until interrupted.")
+	config := demo.Config{
+		Output: os.Stdout,
+		Timer:  timer.NewSystem(),
+	}
+	shape := addShape(command)
+	command.Flag("bin", "Directory of the programs.").Default("bin").StringVar(&config.BinDir)
+	command.Action(func(*kingpin.ParseContext) error {
+		config.Shape = shapeOf(*shape)
+		return demo.Serve(ctx, config)
+	})
+}
+
+func addShape(command *kingpin.CmdClause) *string {
+	return command.Flag("deployment", "Deployment to start.").Default("saltmyri").Enum("saltmyri", "hladnik")
+}
+
+func shapeOf(name string) harness.Shape {
+	if name == "hladnik" {
+		return harness.Hladnik()
+	}
+	return harness.Saltmyri()
+}
