--- a/decision/limits/loan.go
+++ b/decision/limits/loan.go
@@ -110,7 +110,7 @@
 			return 0
 		}
 		expires := hintLifetime - now.Sub(l.Hint.At)
-		if l.Hint.Failed {
+		if l.Hint.Failed || l.Capacity < 1 {
 			next = min(next, expires)
 			continue
 		}
--- a/decision/limits/share.go
+++ b/decision/limits/share.go
@@ -77,6 +77,10 @@
 // Shrink makes the part smaller before its holder writes that to the record,
 // which is expected to have the given revision.
 func (s *Share) Shrink(now time.Time, millionths int64, expected uint64) {
+	if s.shrink.active {
+		// An earlier write may still take effect, too.
+		expected = max(expected, s.shrink.expected)
+	}
 	s.shrink = shrink{
 		active:     true,
 		millionths: min(millionths, s.Millionths()),
