Let a flooding subject use every slot

Cause: the queue kept one of five slots from a subject while others were active, which leaves a slot idle when one subject has all the work.

--- a/decision/scheduling/decision.go
+++ b/decision/scheduling/decision.go
@@ -20,8 +20,8 @@
 	Item Item
 }
 
-// Idle means that there is nothing to start: no item waits, or no slot that a
-// waiting item may use is free. Ask again after Finished or Arrive.
+// Idle means that there is nothing to start: no item waits, or no slot is free.
+// Ask again after Finished or Arrive.
 type Idle struct{}
 
 // Refused turns an item away at arrival, as not run.
--- a/decision/scheduling/flow.go
+++ b/decision/scheduling/flow.go
@@ -11,12 +11,11 @@
 	worth   float64
 	// start is the virtual time at which the flow's next item starts, in seconds
 	// of service divided by weight.
-	start       float64
-	average     average
-	steps       []queued
-	statements  []queued
-	running     int
-	lastArrival int64
+	start      float64
+	average    average
+	steps      []queued
+	statements []queued
+	running    int
 }
 
 func (f *flow) idle() bool {
--- a/decision/scheduling/policy.go
+++ b/decision/scheduling/policy.go
@@ -24,25 +24,25 @@
 func (WeightedFair) policy()    {}
 
 // pick returns the flow to serve next and which of its two lists to serve, or
-// nil if no flow may start an item.
-func (q *Queue) pick(now int64) (*flow, bool) {
+// nil if nothing waits.
+func (q *Queue) pick() (*flow, bool) {
 	switch q.config.Policy.(type) {
 	case FirstInFirstOut:
 		return q.pickOldest()
 	case RoundRobin:
 		return q.pickInTurn()
 	default:
-		return q.pickFair(now)
+		return q.pickFair()
 	}
 }
 
 // pickFair takes the flow with the smallest start tag, transaction steps first.
-func (q *Queue) pickFair(now int64) (*flow, bool) {
+func (q *Queue) pickFair() (*flow, bool) {
 	var ordinary, step *flow
 	first := q.smallestStart()
 	weights := q.weights()
 	for _, f := range q.flows {
-		if f.waiting() == 0 || q.atSlotLimit(f, now) {
+		if f.waiting() == 0 {
 			continue
 		}
 		if ordinary == nil || f.start < ordinary.start {
@@ -94,21 +94,6 @@
 	return oldest, fromSteps
 }
 
-// atSlotLimit tells whether a subject already holds all the slots that one
-// subject may hold. One slot is kept from a flooding subject while others have
-// been active lately, so that their statements do not wait for its statements.
-func (q *Queue) atSlotLimit(f *flow, now int64) bool {
-	if q.config.Slots < minSlotsToReserve || f.running < q.config.Slots-1 {
-		return false
-	}
-	for _, other := range q.flows {
-		if other != f && now-other.lastArrival < int64(activeFor) {
-			return true
-		}
-	}
-	return false
-}
-
 // smallestStart returns the smallest start tag of the waiting flows, which is
 // how far the fair service has come.
 func (q *Queue) smallestStart() float64 {
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// activeFor is how long a subject counts as active after an arrival.
-	activeFor = time.Second
 	// averageGain is the weight of a new service time in the moving averages:
 	// about the last ten statements count.
 	averageGain = 0.1
@@ -23,9 +21,6 @@
 	minCost = 10 * time.Microsecond
 	// minRetryAfter is the shortest retry delay that a refusal names.
 	minRetryAfter = 10 * time.Millisecond
-	// minSlotsToReserve is the number of slots from which one slot is kept from
-	// a subject that floods.
-	minSlotsToReserve = 3
 	// transactionLeadStatements is how many statements a subject may get ahead of
 	// its share through transaction steps.
 	transactionLeadStatements = 20
@@ -110,7 +105,6 @@
 func (q *Queue) Arrive(now time.Time, item Item) Decision {
 	f := q.flow(item.Subject)
 	f.worth = float64(max(item.Worth, 1))
-	f.lastArrival = now.UnixNano()
 	if !q.config.AdmitAll {
 		if refused, ok := q.refuse(now, f, item); ok {
 			return refused
@@ -163,7 +157,7 @@
 	if len(q.running) >= q.config.Slots {
 		return Idle{}
 	}
-	f, steps := q.pick(now.UnixNano())
+	f, steps := q.pick()
 	if f == nil {
 		return Idle{}
 	}
--- a/decision/scheduling/wait.go
+++ b/decision/scheduling/wait.go
@@ -8,8 +8,7 @@
 // expectedWait estimates how long a new item of the flow waits for a slot, from
 // the statements that the policy serves before it.
 func (q *Queue) expectedWait(now time.Time, f *flow, transaction bool) time.Duration {
-	waiting := q.waiting()
-	if len(q.running) < q.config.Slots && waiting == 0 && !q.atSlotLimit(f, now.UnixNano()) {
+	if len(q.running) < q.config.Slots && q.waiting() == 0 {
 		return 0
 	}
 	seconds := q.runningWork(now)
@@ -23,11 +22,7 @@
 	default:
 		seconds += q.fairWork(f, transaction)
 	}
-	wait := time.Duration(seconds / float64(q.config.Slots) * float64(time.Second))
-	if _, fair := q.config.Policy.(WeightedFair); fair {
-		wait = max(wait, q.ownWait(f))
-	}
-	return wait
+	return time.Duration(seconds / float64(q.config.Slots) * float64(time.Second))
 }
 
 // allWork is the service time of all waiting items, in seconds.
@@ -67,16 +62,6 @@
 	return seconds
 }
 
-// ownWait is the time that the flow's own backlog needs on the slots that one
-// subject may hold.
-func (q *Queue) ownWait(f *flow) time.Duration {
-	if q.config.Slots < minSlotsToReserve {
-		return 0
-	}
-	seconds := q.cost(f) * float64(f.waiting()) / float64(q.config.Slots-1)
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // runningWork is the service time that the running items still need, in seconds.
 func (q *Queue) runningWork(now time.Time) float64 {
 	// Integers, because the order of a map must not change the sum.
