--- a/proxy/gossip/fakestore_test.go
+++ b/proxy/gossip/fakestore_test.go
@@ -22,6 +22,17 @@
 	leaving map[string]bool
 }
 
+func newFakeStore(f *fleet) *fakeStore {
+	s := &fakeStore{
+		fleet:   f,
+		changed: make(chan struct{}),
+		missing: map[string]bool{},
+		leaving: map[string]bool{},
+	}
+	s.put(1)
+	return s
+}
+
 // storeLink is the store as one VM reaches it.
 type storeLink struct {
 	*fakeStore
