Serve a request from end to end with separate processes

Cause: the parts were built apart; nothing ran as a whole. The check against the members' logs looks request ids up with the workspace that the entry puts before them. Ruled out: the first demo run reported every acknowledged write as lost; the members' logs held all of them, the check had looked up ids without the workspace.

--- a/loadtool/demo/report.go
+++ b/loadtool/demo/report.go
@@ -38,7 +38,7 @@
 			workload.WriteGap(r.journal.Writes(), database).Round(time.Millisecond))
 		if !verdict.Clean() {
 			r.printf("  lost %v doubled %v false not run %v wrong workspace %v\n",
-				verdict.Lost, verdict.Doubled, verdict.FalseNotRun, verdict.WrongWorkspace)
+				first(verdict.Lost), first(verdict.Doubled), first(verdict.FalseNotRun), first(verdict.WrongWorkspace))
 		}
 	}
 	stale := r.journal.StaleReads()
@@ -53,6 +53,12 @@
 	return nil
 }
 
+// first returns the first few of a list.
+func first(names []string) []string {
+	const few = 5
+	return names[:min(few, len(names))]
+}
+
 func (r *runner) verify(database string) (*workload.Verdict, error) {
 	var logs []*workload.MemberLog
 	for _, m := range r.deployment.MembersOf(database) {
--- a/loadtool/workload/verify.go
+++ b/loadtool/workload/verify.go
@@ -73,7 +73,9 @@
 		if w.Database != database {
 			continue
 		}
-		found := entries[w.RequestID]
+		// The entry proxy puts the workspace before the id, so that workspaces
+		// cannot meet each other's ids.
+		found := entries[w.Workspace+"/"+w.RequestID]
 		name := fmt.Sprintf("%s (%s)", w.RequestID, w.Keys)
 		switch w.Outcome {
 		case client.Done:
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
+	"amaranthdock.dev/observe"
+	"amaranthdock.dev/settings"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// balancerGrace is the time that the platform's load balancer has to notice
+	// that the VM is not ready; requests that arrive meanwhile are served.
+	balancerGrace = time.Second
+	// drainLimit is longer than the idle timeout of transactions (30 s), so that
+	// none is cut.
+	drainLimit = 40 * time.Second
+	// readHeaderTimeout ends connections that send no request.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// server is one listener with its handler.
+type server struct {
+	name   string
+	listen netip.AddrPort
+	tls    *tls.Config
+	http   *http.Server
+}
+
+// run serves until the context ends and then shuts down gracefully.
+func run(ctx context.Context, loaded *settings.Loaded) error {
+	logger, err := observe.NewLogger(observe.LoggerConfig{
+		Level:  loaded.Settings.LogLevel,
+		Format: loaded.Settings.LogFormat,
+		Output: os.Stderr,
+		VM:     loaded.Settings.VM,
+	})
+	if err != nil {
+		return err
+	}
+	p, err := newParts(loaded, logger)
+	if err != nil {
+		return err
+	}
+	servers := newServers(loaded, p)
+	// The loops outlive the signal: they carry the drain.
+	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, child := errgroup.WithContext(loops)
+	for _, loop := range p.background() {
+		group.Go(func() error { return loop(child) })
+	}
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	select {
+	case <-ctx.Done():
+	case <-p.gossip.Leaving():
+	case <-child.Done():
+		closeAll(servers)
+		return group.Wait()
+	}
+	p.drain(loops, logger.WithName("main"), servers)
+	stop()
+	closeAll(servers)
+	return group.Wait()
+}
+
+func newServers(loaded *settings.Loaded, p *parts) []*server {
+	s := loaded.Settings
+	callers := http.NewServeMux()
+	callers.Handle(p.caller.HTTPHandler())
+	peers := http.NewServeMux()
+	peers.Handle(peerv1connect.NewPeerServiceHandler(p.peer))
+	operators := http.NewServeMux()
+	operators.Handle(p.operator.Handler())
+	return []*server{
+		newServer("caller", s.CallerListen, loaded.CallerTLS, callers),
+		newServer("peer", s.PeerListen, loaded.PeerServerTLS, peers),
+		newServer("operator", s.OperatorListen, loaded.OperatorTLS, operators),
+	}
+}
+
+func newServer(name string, listen netip.AddrPort, config *tls.Config, handler http.Handler) *server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(config != nil)
+	protocols.SetUnencryptedHTTP2(config == nil)
+	return &server{
+		name:   name,
+		listen: listen,
+		tls:    config,
+		http: &http.Server{
+			Handler:           handler,
+			Protocols:         protocols,
+			ReadHeaderTimeout: readHeaderTimeout,
+			TLSConfig:         config,
+		},
+	}
+}
+
+func (s *server) serve() error {
+	listener, err := net.Listen("tcp", s.listen.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen for %s", s.name)
+	}
+	if s.tls != nil {
+		err = s.http.ServeTLS(listener, "", "")
+	} else {
+		err = s.http.Serve(listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve %s", s.name)
+	}
+	return nil
+}
+
+func closeAll(servers []*server) {
+	for _, s := range servers {
+		// The process ends; nothing is left to do with an error.
+		_ = s.http.Close()
+	}
+}
+
+// drain lets the fleet and the load balancer know, finishes what is in flight,
+// and gives the shares back.
+func (p *parts) drain(ctx context.Context, logger logr.Logger, servers []*server) {
+	service := timer.NewSystem()
+	ctx, cancel := timer.WithTimeout(ctx, service, drainLimit)
+	defer cancel()
+	logger.Info("Shutdown begins.")
+	steps := []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{
+			name: "announce",
+			do:   p.gossip.Leave,
+		},
+		{
+			name: "balancer grace",
+			do: func(ctx context.Context) error {
+				return timer.Sleep(ctx, service, balancerGrace)
+			},
+		},
+		{
+			name: "callers",
+			do:   servers[0].http.Shutdown,
+		},
+		{
+			name: "statements and transactions",
+			do:   p.home.Drain,
+		},
+		{
+			name: "shares",
+			do:   p.lending.Release,
+		},
+	}
+	for _, step := range steps {
+		if err := step.do(ctx); err != nil {
+			logger.Error(err, "A step of the shutdown failed.", "step", step.name)
+		}
+	}
+	logger.Info("Shutdown is complete.")
+}
