Add the command loadtool bench

Cause: the benchmark of the decisions could not be called. Change: loadtool bench with a seed, a duration, a table and a JSON file; make bench.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 
 # bench runs the measurements of the decisions against their baselines.
 bench: build
-	bin/loadtool bench
+	@mkdir -p results
+	bin/loadtool bench --json results/bench.json
 
 build:
 	@mkdir -p bin
--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -3,12 +3,14 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"amaranthdock.dev/loadtool/bench"
 	"amaranthdock.dev/loadtool/demo"
 	"amaranthdock.dev/loadtool/harness"
 	"amaranthdock.dev/timer"
@@ -19,11 +21,32 @@
 	app.HelpFlag.Short('h')
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
+	addBench(app)
 	addDemo(ctx, app)
 	addServe(ctx, app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
 
+func addBench(app *kingpin.Application) {
+	command := app.Command("bench", "Measure the decisions against their baselines, in simulated time.")
+	config := bench.Config{}
+	command.Flag("seed", "Seed of all random values.").Default("1").Uint64Var(&config.Seed)
+	command.Flag("duration", "Simulated time of each scenario.").Default("60s").DurationVar(&config.Duration)
+	file := command.Flag("json", "File for the result as JSON.").String()
+	command.Action(func(*kingpin.ParseContext) error {
+		report := bench.Run(config)
+		fmt.Print(report.Table())
+		if *file == "" {
+			return nil
+		}
+		encoded, err := report.JSON()
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(*file, encoded, 0o644)
+	})
+}
+
 func addDemo(ctx context.Context, app *kingpin.Application) {
 	command := app.Command("demo", "Start a deployment, run work, kill a proxy and a primary, and check every record.")
 	config := demo.Config{
