Bound retries by a budget for each subject

Cause: the entry retried without a budget; a VM was ready before it knew its shares. Change: caller.Budgets on decision/retries; readiness waits for lending.Ready.

--- a/decision/retries/retries.go
+++ b/decision/retries/retries.go
@@ -85,10 +85,9 @@
 	if delay >= failure.Remaining {
 		return Stop{Cause: DeadlineNear}
 	}
-	if b.tokens < 1 {
+	if !b.Take() {
 		return Stop{Cause: BudgetSpent}
 	}
-	b.tokens--
 	return Retry{After: delay}
 }
 
@@ -97,6 +96,15 @@
 	b.tokens = min(b.tokens+budgetShare, budgetBurst)
 }
 
+// Take takes one retry out of the budget; false if it is spent.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Backoff returns the delay after the given number of tries, from 1: doubled for
 // each try and spread over its upper half by random, uniform in [0, 1).
 func Backoff(tries int, random float64) time.Duration {
--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -230,6 +230,7 @@
 		Log:           b.logger.WithName("caller"),
 		Metrics:       b.registry,
 		Observer:      b.made.failover,
+		Retries:       caller.NewBudgets(),
 		Sealer:        sealer,
 		Timer:         b.timer,
 	})
@@ -285,7 +286,7 @@
 	dumps.Register("caller", b.made.caller)
 }
 
-var errNotReady = eris.New("the configuration or the membership is not known yet")
+var errNotReady = eris.New("the configuration, the membership or the shares are not known yet")
 
 var errLeaving = eris.New("the VM is leaving")
 
@@ -296,7 +297,7 @@
 		return errLeaving
 	default:
 	}
-	if !p.gossip.Ready() {
+	if !p.gossip.Ready() || !p.lending.Ready() {
 		return errNotReady
 	}
 	return nil
