--- a/decision/promotion/monitor_test.go
+++ b/decision/promotion/monitor_test.go
@@ -276,6 +276,17 @@
 		b.expectFence(promotion.CauseNoPrimary, 3, 100*time.Millisecond, time.Second)
 	})
 
+	It("passes over a primary that no replica hears (guards against promoting it again)", func() {
+		b := newBench(0)
+		for endpoint := range b.statuses {
+			b.set(endpoint, func(s *promotion.Status) { s.ReplicationSilence = promotion.DetectionTime })
+		}
+		b.expectFence(promotion.CauseReplicasStalled, 2, 0, 2*tick)
+		b.monitor.Fenced(b.now, 2, []promotion.Report{report("a", 1, 9), report("b", 1, 4), report("c", 1, 3)})
+		promoted, _ := b.until(tick)
+		Expect(promoted).To(Equal(promotion.Promote{Endpoint: "b", Term: 2, Claimant: "vm/1"}))
+	})
+
 	DescribeTable("stops new writes when replication stalls (guards against writes that end as unknown)",
 		func(healthy bool, fault func(*bench)) {
 			b := newBench(0)
--- a/decision/promotion/step.go
+++ b/decision/promotion/step.go
@@ -28,6 +28,9 @@
 type claim struct {
 	term    uint64
 	started time.Time
+	// avoid is a primary that answers but that no replica hears. It accepts the
+	// fence with the highest position and would be chosen again.
+	avoid string
 	// chosen is the endpoint to promote; empty until the fence is through.
 	chosen string
 	// pending is returned by the next Step.
@@ -53,7 +56,13 @@
 	if m.claim == nil || m.claim.term != term || m.claim.chosen != "" {
 		return
 	}
-	endpoint, ok := Choose(m.config.Members, reports, m.config.StoreRegion)
+	members := slices.Clone(m.config.Members)
+	for i := range members {
+		if members[i].Endpoint == m.claim.avoid {
+			members[i].Leaving = true
+		}
+	}
+	endpoint, ok := Choose(members, reports, m.config.StoreRegion)
 	if !ok {
 		m.fail(now)
 		return
@@ -250,14 +259,15 @@
 }
 
 func (m *Monitor) start(now time.Time, found condition) Decision {
-	if found.cause == CauseReplicasStalled {
-		m.stalledAt = now
-	}
 	m.highest++
 	m.claim = &claim{
 		term:    m.highest,
 		started: now,
 	}
+	if found.cause == CauseReplicasStalled {
+		m.stalledAt = now
+		m.claim.avoid = m.leader
+	}
 	targets := make([]string, 0, len(m.config.Members))
 	for _, member := range m.config.Members {
 		targets = append(targets, member.Endpoint)
--- /dev/null
+++ b/proxy/failover/dump.go
@@ -0,0 +1,76 @@
+package failover
+
+import (
+	"slices"
+	"strings"
+
+	"amaranthdock.dev/decision/routing"
+)
+
+// Dump is the state of the part.
+type Dump struct {
+	Databases []DatabaseDump `json:"databases"`
+}
+
+// DatabaseDump is the state of one watched database.
+type DatabaseDump struct {
+	Database  string       `json:"database"`
+	Term      uint64       `json:"term"`
+	Primary   string       `json:"primary"`
+	Claimants []string     `json:"claimants"`
+	Members   []MemberDump `json:"members"`
+}
+
+// MemberDump is the state of one member.
+type MemberDump struct {
+	Endpoint  string `json:"endpoint"`
+	Primary   bool   `json:"primary"`
+	Reachable bool   `json:"reachable"`
+	Term      uint64 `json:"term"`
+	Index     uint64 `json:"index"`
+	// AgeMilliseconds is -1 if the age is unknown.
+	AgeMilliseconds int64 `json:"ageMilliseconds"`
+}
+
+// Dump returns the state of the watched databases.
+func (p *Part) Dump() any {
+	p.mu.Lock()
+	var watched []*database
+	for _, d := range p.databases {
+		watched = append(watched, d)
+	}
+	p.mu.Unlock()
+	slices.SortFunc(watched, func(a, b *database) int { return strings.Compare(a.name, b.name) })
+	dump := Dump{Databases: []DatabaseDump{}}
+	for _, d := range watched {
+		dump.Databases = append(dump.Databases, d.dump())
+	}
+	return dump
+}
+
+func (d *database) dump() DatabaseDump {
+	view := d.view()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dump := DatabaseDump{
+		Database:  d.name,
+		Term:      view.Term,
+		Primary:   view.Primary,
+		Claimants: slices.Clone(d.claimants),
+	}
+	for _, m := range view.Members {
+		age := int64(-1)
+		if m.AgeKnown {
+			age = m.Age.Milliseconds()
+		}
+		dump.Members = append(dump.Members, MemberDump{
+			Endpoint:        m.Endpoint,
+			Primary:         m.Role == routing.RolePrimary,
+			Reachable:       m.Reachable,
+			Term:            m.Last.Term,
+			Index:           m.Last.Index,
+			AgeMilliseconds: age,
+		})
+	}
+	return dump
+}
