Use the store's entry type in failover's tests

Cause: failover was built apart from the store client and had its own entry type. Measured: failover, promotion and stand-in tests pass. Conclusion: one declaration.

--- a/proxy/failover/fakes_test.go
+++ b/proxy/failover/fakes_test.go
@@ -12,6 +12,7 @@
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
 	"amaranthdock.dev/proxy/failover"
+	"amaranthdock.dev/proxy/platform"
 )
 
 // cut is a link that holds back all calls while it is closed, as a partition or a
