--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -84,10 +84,10 @@
 		return err
 	})
 	if err != nil {
-		return nil, nil, h.resolve(ctx, s, term, err)
+		return h.settle(ctx, s, term, err)
 	}
 	if err := h.waitDurable(ctx, s, got.position); err != nil {
-		return nil, nil, err
+		return h.settle(ctx, s, got.position.Term, err)
 	}
 	return &peerv1.ForwardResult{
 		Outcome:      callerv1.Outcome_OUTCOME_DONE,
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -22,9 +22,11 @@
 	"amaranthdock.dev/api/amaranthdock/endpoint/v1/endpointv1connect"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/declaration"
+	"amaranthdock.dev/proxy/failover"
 	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
@@ -73,6 +75,10 @@
 	stalled   bool
 	lost      bool
 	confirmed bool
+
+	resolution failover.Resolution
+	// resolved holds the terms that were asked about.
+	resolved []uint64
 }
 
 func (o *observer) set(change func()) {
@@ -89,6 +95,16 @@
 
 func (o *observer) PrimaryConfirmed(string) bool { return o.confirmed }
 
+func (o *observer) Resolve(_ context.Context, _, _ string, sentTerm uint64) failover.Resolution {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.resolved = append(o.resolved, sentTerm)
+	if o.resolution.Outcome == 0 {
+		return failover.Resolution{Outcome: refusal.Unknown}
+	}
+	return o.resolution
+}
+
 func (o *observer) View(string) (routing.DatabaseView, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -20,6 +20,7 @@
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/declaration"
+	"amaranthdock.dev/proxy/failover"
 	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
@@ -49,6 +50,9 @@
 type Observer interface {
 	Durable(database string) (logpos.Position, bool)
 	PrimaryConfirmed(database string) bool
+	// Resolve waits until a write that this VM sent in a term, and of which no
+	// other copy is under way, is known to be done or not run.
+	Resolve(ctx context.Context, database, requestID string, sentTerm uint64) failover.Resolution
 	View(database string) (routing.DatabaseView, bool)
 	WaitApplied(ctx context.Context, endpoint string, required logpos.Position) error
 	// WaitDurable returns nil once the position is durable, also under the term
--- a/proxy/endpoint/transaction.go
+++ b/proxy/endpoint/transaction.go
@@ -170,11 +170,11 @@
 		if sent {
 			h.end(t, false)
 		}
-		return nil, nil, lostInTransaction(err)
+		return h.settle(ctx, s, t.term, lostInTransaction(err))
 	}
 	h.end(t, true)
 	if err := h.waitDurable(ctx, s, got.position); err != nil {
-		return nil, nil, err
+		return h.settle(ctx, s, got.position.Term, err)
 	}
 	return &peerv1.ForwardResult{
 		Outcome:      callerv1.Outcome_OUTCOME_DONE,
--- a/proxy/failover/outcome.go
+++ b/proxy/failover/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
 	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
@@ -23,6 +24,9 @@
 	// Position of the write if it is done: in the term of the primary that holds
 	// it, so that a token with it is covered by that primary's log only.
 	Position logpos.Position
+	// Rows and RowsAffected are the recorded answer of a write that is done.
+	Rows         []*callerv1.Row
+	RowsAffected int64
 }
 
 // Outcome tells once what became of a request: done, or unknown, because a copy
@@ -100,5 +104,7 @@
 			Term:  term,
 			Index: max(position.Index, status.TermStart.Index),
 		},
+		Rows:         response.GetRows(),
+		RowsAffected: response.GetRowsAffected(),
 	}, 0
 }
--- a/standin/member/control.go
+++ b/standin/member/control.go
@@ -36,6 +36,8 @@
 	if e, ok := m.log.Find(request.GetRequestId()); ok {
 		response.Found = true
 		response.Position = toPosition(e.Position())
+		response.Rows = toRows(e.Rows)
+		response.RowsAffected = e.RowsAffected
 	}
 	return response, nil
 }
