Settle writes whose home or primary was lost

A trace of the errors showed two causes: forwards to a killed home ended in a failed TLS handshake, which was not seen as proof of not sent; and a home that found a lost write in the new primary's log still answered unknown. Ruled out: sending a lost write again with its id at the new home; the old home may still be running and send it in its own time.

--- a/decision/refusal/refusal.go
+++ b/decision/refusal/refusal.go
@@ -51,6 +51,7 @@
 	NotHome             Reason = "notHome"
 	NotPrimary          Reason = "notPrimary"
 	NotReady            Reason = "notReady"
+	OutcomeNotKnown     Reason = "outcomeNotKnown"
 	Overloaded          Reason = "overloaded"
 	QueueTimeout        Reason = "queueTimeout"
 	RateExceeded        Reason = "rateExceeded"
--- a/loadtool/workload/record.go
+++ b/loadtool/workload/record.go
@@ -151,7 +151,7 @@
 	if failed, ok := client.As(err); ok {
 		reason := failed.Reason
 		if reason == "" {
-			reason = "connectionLost"
+			reason = "no answer"
 		}
 		return failed.Outcome, reason
 	}
--- a/proxy/caller/dispatch.go
+++ b/proxy/caller/dispatch.go
@@ -206,7 +206,7 @@
 	}
 	switch refused.Reason {
 	case refusal.EndpointLeaving, refusal.NoPrimary, refusal.NotHome, refusal.NotPrimary,
-		refusal.ReplicaBehind, refusal.Unreachable:
+		refusal.ReplicaBehind, refusal.ReplicationStalled, refusal.Unreachable:
 		return true
 	default:
 		return false
--- a/proxy/caller/fixture_test.go
+++ b/proxy/caller/fixture_test.go
@@ -101,6 +101,19 @@
 	return home(ctx, request, send)
 }
 
+// executions counts the statements that were forwarded, without look-ups.
+func (f *fixture) executions() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, request := range f.forwarded {
+		if !request.GetLookUpOutcome() {
+			count++
+		}
+	}
+	return count
+}
+
 // verbs returns the verbs of the steps that were forwarded.
 func (f *fixture) verbs() []endpointv1.Verb {
 	f.mu.Lock()
--- a/proxy/caller/statements.go
+++ b/proxy/caller/statements.go
@@ -91,6 +91,9 @@
 	}
 	d := c.newDispatch(r, execute, database, send)
 	result := c.run(ctx, d)
+	if !d.read {
+		result = c.settle(ctx, r, database, result, send)
+	}
 	if refused := peer.DecodeRefusal(result); refused != nil {
 		return nil, refused
 	}
@@ -149,20 +152,13 @@
 	if err != nil {
 		return nil, c.refuse(r, unknownOutcome(err))
 	}
-	d := &dispatch{
-		request:  r,
-		database: lookUp.GetDatabase(),
-		forward:  r.forwardRequest(lookUp.GetDatabase(), endpointv1.Verb_VERB_UNSPECIFIED),
-		send:     func([]*callerv1.Row) error { return nil },
-	}
-	d.forward.LookUpOutcome = true
-	result := c.run(ctx, d)
+	result := c.lookUp(ctx, r, lookUp.GetDatabase(), discardRows)
 	if refused := peer.DecodeRefusal(result); refused != nil && refused.Outcome == refusal.NotRun {
 		return nil, c.refuse(r, unknownOutcome(refused))
 	}
 	response := &callerv1.GetOutcomeResponse{Outcome: result.GetOutcome()}
 	if result.GetOutcome() == callerv1.Outcome_OUTCOME_DONE {
-		response.SessionToken = c.sealToken(r, d.database, result, false)
+		response.SessionToken = c.sealToken(r, lookUp.GetDatabase(), result, false)
 	}
 	return response, nil
 }
--- a/proxy/caller/transactions.go
+++ b/proxy/caller/transactions.go
@@ -76,7 +76,8 @@
 		return nil, c.refuse(r, err)
 	}
 	forward := r.forwardRequest(handle.Database, endpointv1.Verb_VERB_COMMIT)
-	result := c.step(ctx, r, handle, forward, func([]*callerv1.Row) error { return nil })
+	result := c.step(ctx, r, handle, forward, discardRows)
+	result = c.settle(ctx, r, handle.Database, result, discardRows)
 	if refused := peer.DecodeRefusal(result); refused != nil {
 		return nil, c.refuse(r, refused)
 	}
@@ -98,7 +99,7 @@
 		return nil, c.refuse(r, err)
 	}
 	forward := r.forwardRequest(handle.Database, endpointv1.Verb_VERB_ROLLBACK)
-	result := c.step(ctx, r, handle, forward, func([]*callerv1.Row) error { return nil })
+	result := c.step(ctx, r, handle, forward, discardRows)
 	refused := peer.DecodeRefusal(result)
 	// A transaction that is not open has been rolled back before.
 	if refused != nil && refused.Reason != refusal.TransactionUnknown {
@@ -189,6 +190,8 @@
 	})
 }
 
+func discardRows([]*callerv1.Row) error { return nil }
+
 // homeGone leaves a commit unknown: an earlier one, whose answer was lost, may
 // have taken effect before the home went.
 func homeGone(forward *peerv1.ForwardRequest) error {
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -93,6 +93,12 @@
 	return o.durable, true
 }
 
+func (o *observer) Outcome(context.Context, string, string) failover.Resolution {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.resolution
+}
+
 func (o *observer) PrimaryConfirmed(string) bool { return o.confirmed }
 
 func (o *observer) Resolve(_ context.Context, _, _ string, sentTerm uint64) failover.Resolution {
--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -49,6 +49,8 @@
 // Observer knows the members of the databases.
 type Observer interface {
 	Durable(database string) (logpos.Position, bool)
+	// Outcome tells whether a write is done; a write that is not found is unknown.
+	Outcome(ctx context.Context, database, requestID string) failover.Resolution
 	PrimaryConfirmed(database string) bool
 	// Resolve waits until a write that this VM sent in a term, and of which no
 	// other copy is under way, is known to be done or not run.
--- a/proxy/endpoint/outcome.go
+++ b/proxy/endpoint/outcome.go
@@ -4,9 +4,9 @@
 	"context"
 
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
-	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/proxy/failover"
 	"amaranthdock.dev/proxy/peer"
 )
 
@@ -14,25 +14,15 @@
 // of the write may still be on its way.
 func (h *Home) lookUpOutcome(ctx context.Context, s *step) (*peerv1.ForwardResult, []*callerv1.Row, error) {
 	view, ok := h.config.Observer.View(s.GetDatabase())
-	declared, known := s.snapshot.Endpoint(s.GetEndpoint())
-	if !ok || !known || view.Primary != s.GetEndpoint() {
+	if !ok || view.Primary != s.GetEndpoint() {
 		return nil, nil, refusal.NewNotRun(refusal.NotPrimary, "the endpoint is not the primary")
 	}
-	found, err := h.config.Dial(declared.Address).GetOutcome(ctx, &endpointv1.GetOutcomeRequest{RequestId: s.GetRequestId()})
-	if err != nil {
-		return nil, nil, refusal.NewNotRun(refusal.Unreachable, "the primary did not answer")
+	found := h.config.Observer.Outcome(ctx, s.GetDatabase(), s.GetRequestId())
+	if found.Outcome != refusal.Done {
+		return nil, nil, refusal.NewUnknown(refusal.OutcomeNotKnown, "the log of the primary does not show the request as durable")
 	}
-	if !found.GetFound() || found.GetStatus().GetRole() != endpointv1.Role_ROLE_PRIMARY {
-		return nil, nil, refusal.NewUnknown(refusal.Internal, "the log of the primary does not hold the request")
-	}
-	position := peer.DecodePosition(found.GetPosition())
-	if err := h.waitDurable(ctx, s, position); err != nil {
-		return nil, nil, err
-	}
-	return &peerv1.ForwardResult{
-		Outcome:  callerv1.Outcome_OUTCOME_DONE,
-		Position: peer.EncodePosition(position),
-	}, nil, nil
+	result, rows := recorded(found)
+	return result, rows, nil
 }
 
 // settle finds out what became of a write that was sent and whose end is unknown.
@@ -45,14 +35,20 @@
 	found := h.config.Observer.Resolve(ctx, s.GetDatabase(), s.GetRequestId(), sentTerm)
 	switch found.Outcome {
 	case refusal.Done:
-		return &peerv1.ForwardResult{
-			Outcome:      callerv1.Outcome_OUTCOME_DONE,
-			RowsAffected: found.RowsAffected,
-			Position:     peer.EncodePosition(found.Position),
-		}, found.Rows, nil
+		result, rows := recorded(found)
+		return result, rows, nil
 	case refusal.NotRun:
 		return nil, nil, refusal.NewNotRun(refusal.NotPrimary, "the primary was replaced, and the write is not in the log")
 	default:
 		return nil, nil, err
 	}
 }
+
+// recorded returns the answer of a write from its record.
+func recorded(found failover.Resolution) (*peerv1.ForwardResult, []*callerv1.Row) {
+	return &peerv1.ForwardResult{
+		Outcome:      callerv1.Outcome_OUTCOME_DONE,
+		RowsAffected: found.RowsAffected,
+		Position:     peer.EncodePosition(found.Position),
+	}, found.Rows
+}
--- a/proxy/peer/dial.go
+++ b/proxy/peer/dial.go
@@ -104,6 +104,9 @@
 				SendPingTimeout: pingAfter,
 				PingTimeout:     pingTimeout,
 			},
+			DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return dialTLS(ctx, dialer, config.TLS, network, address)
+			},
 			Protocols:           protocols,
 			TLSClientConfig:     config.TLS,
 			TLSHandshakeTimeout: dialTimeout,
@@ -111,6 +114,23 @@
 	}
 }
 
+// dialTLS connects and shakes hands, so that a failed handshake, too, is known to
+// come before any request.
+func dialTLS(ctx context.Context, dialer *net.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	config = config.Clone()
+	config.NextProtos = []string{"h2"}
+	conn, err := (&tls.Dialer{
+		NetDialer: dialer,
+		Config:    config,
+	}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &DialError{cause: err}
+	}
+	return conn, nil
+}
+
 // Scheme returns the URL scheme that fits a TLS configuration.
 func Scheme(config *tls.Config) string {
 	if config == nil {
