--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -81,12 +81,6 @@
 	resolved []uint64
 }
 
-func (o *observer) set(change func()) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	change()
-}
-
 func (o *observer) Durable(string) (logpos.Position, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
