Replace a primary that its replicas do not hear by another member

Cause: a primary that was cut off from the other members, but reached by the VMs, committed entries alone, accepted the fence with the longest log and was promoted again, so that writes stopped until the cut ended. With the members' answers cut off, the replicas heard heartbeats and the stall was not noticed at all. A second stall within 5 s waited for the hold of the first.

Change: a stalled primary is passed over if a majority of other members accepted the fence; two others hold every durable entry. A replica that is behind without progress for the detection time counts as stalled. The hold ends once the opening entry of the replacement is durable.

Ruled out: a primary with a healthy but slow replication; it gets answers to its heartbeats, so that its own silence stays below the detection time.

--- a/decision/promotion/monitor.go
+++ b/decision/promotion/monitor.go
@@ -64,15 +64,19 @@
 	confirmedAt   time.Time
 	confirmedTerm uint64
 
-	current   condition
-	since     time.Time
-	jitter    float64
-	confirm   confirmation
-	claim     *claim
-	attempts  int
-	retryAt   time.Time
-	stalledAt time.Time
-	published uint64
+	current  condition
+	since    time.Time
+	jitter   float64
+	confirm  confirmation
+	claim    *claim
+	attempts int
+	retryAt  time.Time
+	// stalledPrimary was found without replicas that hear it at stalledAt, and
+	// stalledTerm was claimed to replace it.
+	stalledPrimary string
+	stalledTerm    uint64
+	stalledAt      time.Time
+	published      uint64
 }
 
 // observed is what is known of one member.
--- a/decision/promotion/monitor_test.go
+++ b/decision/promotion/monitor_test.go
@@ -183,6 +183,12 @@
 				b.set(endpoint, func(s *promotion.Status) { s.ReplicationSilence = promotion.DetectionTime })
 			}
 		}),
+		Entry("replicas that hear heartbeats only", promotion.CauseReplicasStalled, uint64(2), promotion.DetectionTime, promotion.DetectionTime+2*tick, func(b *bench) {
+			b.set("a", func(s *promotion.Status) {
+				s.Last = at(1, 9)
+				s.ReplicationSilence = promotion.DetectionTime
+			})
+		}),
 		Entry("new database", promotion.CauseNoPrimary, uint64(1), tick, time.Second, func(b *bench) {
 			b.monitor = promotion.New(promotion.Config{
 				Claimant: "vm/1",
@@ -234,6 +240,51 @@
 		Entry("rank 2", 2, 700*time.Millisecond),
 	)
 
+	DescribeTable("passes over a stalled primary (guards against a write gap without end)",
+		func(reports []promotion.Report, chosen string) {
+			b := newBench(0)
+			for endpoint := range b.statuses {
+				b.set(endpoint, func(s *promotion.Status) { s.ReplicationSilence = promotion.DetectionTime })
+			}
+			b.expectFence(promotion.CauseReplicasStalled, 2, 0, 2*tick)
+			b.monitor.Fenced(b.now, 2, reports)
+			promoted, _ := b.until(tick)
+			Expect(promoted).To(Equal(promotion.Promote{Endpoint: chosen, Term: 2, Claimant: "vm/1"}))
+		},
+		Entry("two others", []promotion.Report{report("a", 1, 9), report("b", 1, 5), report("c", 1, 4)}, "b"),
+		Entry("one other", []promotion.Report{report("a", 1, 9), report("b", 1, 5)}, "a"),
+	)
+
+	It("replaces the next primary too if that stalls (guards against a hold that outlives its cause)", func() {
+		b := newBench(0)
+		stall := func(s *promotion.Status) { s.ReplicationSilence = promotion.DetectionTime }
+		for endpoint := range b.statuses {
+			b.set(endpoint, stall)
+		}
+		b.expectFence(promotion.CauseReplicasStalled, 2, 0, 2*tick)
+		b.monitor.Fenced(b.now, 2, []promotion.Report{report("b", 1, 1), report("c", 1, 1)})
+		b.until(tick)
+		b.monitor.Promoted(b.now, 2, true)
+		for endpoint := range b.statuses {
+			b.set(endpoint, func(s *promotion.Status) {
+				s.FencedTerm = 2
+				s.Last = at(2, 2)
+				s.Role = routing.RoleReplica
+				s.ReplicationSilence = 0
+			})
+		}
+		b.set("b", func(s *promotion.Status) {
+			s.Role = routing.RolePrimary
+			s.TermStart = at(2, 2)
+		})
+		b.until(time.Second)
+		b.until(time.Second)
+		for endpoint := range b.statuses {
+			b.set(endpoint, stall)
+		}
+		b.expectFence(promotion.CauseReplicasStalled, 3, 0, 2*tick)
+	})
+
 	It("hands over if others reach the primary (guards against a promotion by a VM that is cut off)", func() {
 		b := newBench(0)
 		delete(b.statuses, "a")
--- a/decision/promotion/step.go
+++ b/decision/promotion/step.go
@@ -53,7 +53,7 @@
 	if m.claim == nil || m.claim.term != term || m.claim.chosen != "" {
 		return
 	}
-	endpoint, ok := Choose(m.config.Members, reports, m.config.StoreRegion)
+	endpoint, ok := m.choose(now, reports)
 	if !ok {
 		m.fail(now)
 		return
@@ -138,6 +138,20 @@
 	return fresh
 }
 
+// choose picks the member to promote. A primary that its replicas do not hear may
+// hold the longest log, of entries that no other member can get. Two other members
+// hold every durable entry, so that it is passed over if a majority can do without.
+func (m *Monitor) choose(now time.Time, reports []Report) (string, bool) {
+	if m.stalledAt.IsZero() || now.Sub(m.stalledAt) >= stalledHold {
+		return Choose(m.config.Members, reports, m.config.StoreRegion)
+	}
+	others := slices.DeleteFunc(slices.Clone(reports), func(r Report) bool { return r.Endpoint == m.stalledPrimary })
+	if endpoint, ok := Choose(m.config.Members, others, m.config.StoreRegion); ok {
+		return endpoint, true
+	}
+	return Choose(m.config.Members, reports, m.config.StoreRegion)
+}
+
 // fail ends a claim without effect. The next one waits longer, so that two
 // claimants do not fence each other's terms for ever.
 func (m *Monitor) fail(now time.Time) {
@@ -226,13 +240,15 @@
 	return leaving && staying >= m.majority()
 }
 
-// stalled tells whether all replicas answer but none has heard the primary for
-// the detection time.
+// stalled tells whether all members answer, but for the detection time the primary
+// got no answer of a replica, and each replica heard nothing or did not advance. A
+// replica that hears the primary's heartbeats still gets no entries if the primary
+// does not get its answers.
 func (m *Monitor) stalled(now time.Time, primary *observed) bool {
 	if len(m.members) == 1 || now.Sub(m.leaderSince) < DetectionTime {
 		return false
 	}
-	if !m.stalledAt.IsZero() && now.Sub(m.stalledAt) < stalledHold {
+	if !m.stalledAt.IsZero() && now.Sub(m.stalledAt) < stalledHold && !m.stallEnded() {
 		return false
 	}
 	if primary.status.ReplicationSilence < DetectionTime {
@@ -242,16 +258,26 @@
 		if name == m.leader {
 			continue
 		}
-		if !o.fresh(now) || o.status.ReplicationSilence < DetectionTime {
+		stuck := !o.behindSince.IsZero() && now.Sub(o.behindSince) >= DetectionTime
+		if !o.fresh(now) || o.status.ReplicationSilence < DetectionTime && !stuck {
 			return false
 		}
 	}
 	return true
 }
 
+// stallEnded tells whether a replica holds the opening entry of a primary that
+// replaced the stalled one, which shows that the replicas were not at fault.
+func (m *Monitor) stallEnded() bool {
+	_, durable := m.Durable()
+	return durable && m.leaderTerm >= m.stalledTerm
+}
+
 func (m *Monitor) start(now time.Time, found condition) Decision {
 	if found.cause == CauseReplicasStalled {
 		m.stalledAt = now
+		m.stalledPrimary = m.leader
+		m.stalledTerm = m.highest + 1
 	}
 	m.highest++
 	m.claim = &claim{
