Convert views and positions in one place

Cause: proxy/failover and proxy/peer held the same conversions of messages, since they were built apart. Change: failover uses those of proxy/peer. Measured: their tests pass. Conclusion: one piece of code serves both.

--- a/proxy/failover/database.go
+++ b/proxy/failover/database.go
@@ -162,7 +162,7 @@
 }
 
 func (d *database) observe(endpoint string, message *endpointv1.Status) {
-	status := fromStatus(endpoint, message)
+	status := decodeStatus(endpoint, message)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.part.config.Timer.Now()
@@ -254,7 +254,7 @@
 				answers <- nil
 				return
 			}
-			status := fromStatus(endpoint, message)
+			status := decodeStatus(endpoint, message)
 			answers <- &status
 		})
 	}
--- a/proxy/failover/driver.go
+++ b/proxy/failover/driver.go
@@ -12,6 +12,7 @@
 	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/promotion"
+	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
 
@@ -185,7 +186,7 @@
 	return promotion.Report{
 		Endpoint: endpoint,
 		Accepted: response.GetAccepted(),
-		Last:     toPosition(response.GetStatus().GetLast()),
+		Last:     peer.DecodePosition(response.GetStatus().GetLast()),
 	}
 }
 
--- a/proxy/failover/outcome.go
+++ b/proxy/failover/outcome.go
@@ -9,6 +9,7 @@
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
 
@@ -82,7 +83,7 @@
 	if err != nil {
 		return unknown, 0
 	}
-	status := fromStatus(primary, response.GetStatus())
+	status := decodeStatus(primary, response.GetStatus())
 	if status.Role != routing.RolePrimary || status.FencedTerm != term {
 		return unknown, 0
 	}
@@ -94,7 +95,7 @@
 		}
 		return unknown, 0
 	}
-	position := toPosition(response.GetPosition())
+	position := peer.DecodePosition(response.GetPosition())
 	if !d.monitor.Holds(term, position) {
 		return unknown, 0
 	}
--- a/proxy/failover/peer.go
+++ b/proxy/failover/peer.go
@@ -8,6 +8,7 @@
 
 	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
+	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
 
@@ -43,5 +44,5 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, eris.New("failover: this VM does not watch the database"))
 	}
-	return FromView(d.view()), nil
+	return peer.EncodeView(d.view()), nil
 }
--- a/proxy/failover/view.go
+++ b/proxy/failover/view.go
@@ -7,6 +7,7 @@
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
 
@@ -99,7 +100,7 @@
 	if err != nil {
 		return routing.DatabaseView{}, err
 	}
-	return ToView(message), nil
+	return peer.DecodeView(message), nil
 }
 
 // refresh fetches a view in the background, once at a time. The caller holds the
--- a/proxy/peer/convert.go
+++ b/proxy/peer/convert.go
@@ -62,7 +62,7 @@
 	for _, m := range view.GetMembers() {
 		decoded.Members = append(decoded.Members, routing.MemberView{
 			Endpoint:  m.GetEndpoint(),
-			Role:      decodeRole(m.GetRole()),
+			Role:      DecodeRole(m.GetRole()),
 			Reachable: m.GetReachable(),
 			Last:      DecodePosition(m.GetLast()),
 			Age:       m.GetAge().AsDuration(),
@@ -127,7 +127,8 @@
 	}
 }
 
-func decodeRole(role endpointv1.Role) routing.Role {
+// DecodeRole returns the role of a message.
+func DecodeRole(role endpointv1.Role) routing.Role {
 	switch role {
 	case endpointv1.Role_ROLE_PRIMARY:
 		return routing.RolePrimary
