Count traffic, refusals, reads and failovers in each process

Change: one counting connection serves the peer, platform, status and step transports and the peer listener; a connect interceptor counts the messages between proxies by purpose (gossip, lending, failover, forward) by message size. New counters: refusals by reason and by workspace, reads by the role of the member, loans, wrongful refusals; timers for the queue wait and for failovers; gauges for the live VMs and the configuration's version. /metrics is in the Prometheus text format, through client_golang over a collector of the go-metrics registry; the JSON is at /metrics.json. What follows a slash in a metric's name becomes a label.

Ruled out: a label made part of the Prometheus name, because workspaces "a-1" and "a_1" would be one metric and fail the whole page. The share in wrongful refusals is the VM's part, or an even part of the fleet if that is larger; a VM without a part would never count one otherwise.

The test of /metrics now reads the JSON at its new path with the same expectation, and a second one reads the text format.

Conclusion: capacity can be measured from the processes themselves.

--- a/observe/observe_test.go
+++ b/observe/observe_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
@@ -27,10 +28,11 @@
 var _ = Describe("Server", func() {
 	const secret = "0123456789abcdef0123456789abcdef"
 	var (
-		log    *bytes.Buffer
-		logger logr.Logger
-		ready  error
-		server *observe.Server
+		log      *bytes.Buffer
+		logger   logr.Logger
+		ready    error
+		registry metrics.Registry
+		server   *observe.Server
 	)
 
 	BeforeEach(func() {
@@ -58,7 +60,7 @@
 			}
 			return []any{loaded, loaded.SessionKeys}
 		}))
-		registry := metrics.NewRegistry()
+		registry = metrics.NewRegistry()
 		metrics.GetOrRegisterCounter("caller.requests", registry).Inc(3)
 		server, err = observe.New(observe.Config{
 			Logger:   logger,
@@ -106,8 +108,28 @@
 		Expect(log.String()).To(BeEmpty())
 	})
 
-	It("serves metrics", func() {
-		Expect(get("/metrics").Body.String()).To(MatchJSON(`{"caller.requests":{"count":3}}`))
+	It("serves metrics as JSON", func() {
+		Expect(get("/metrics.json").Body.String()).To(MatchJSON(`{"caller.requests":{"count":3}}`))
+	})
+
+	// Two labels that differ only in characters that names must not hold would
+	// be one metric otherwise, and the page would fail as a whole.
+	It("serves metrics to Prometheus with the label after the slash", func() {
+		for _, workspace := range []string{"east-1", "east_1"} {
+			metrics.GetOrRegisterCounter("caller.workspaceRefusals/"+workspace, registry).Inc(2)
+		}
+		metrics.GetOrRegisterTimer("endpoint.queueWait", registry).Update(2 * time.Second)
+		answer := get("/metrics")
+		Expect(answer.Code).To(Equal(http.StatusOK))
+		for _, line := range []string{
+			"amaranthdock_caller_requests 3\n",
+			"amaranthdock_caller_workspaceRefusals{name=\"east-1\"} 2\n",
+			"amaranthdock_caller_workspaceRefusals{name=\"east_1\"} 2\n",
+			"amaranthdock_endpoint_queueWait{quantile=\"0.5\"} 2\n",
+			"amaranthdock_endpoint_queueWait_sum 2\n",
+		} {
+			Expect(answer.Body.String()).To(ContainSubstring(line))
+		}
 	})
 
 	It("reports not ready with the reason, so that the load balancer turns away", func() {
--- a/observe/server.go
+++ b/observe/server.go
@@ -32,8 +32,8 @@
 	Ready func() error
 }
 
-// Server serves /metrics, /dump, /ready and /live over HTTP, and logs the state
-// dump on SIGUSR1.
+// Server serves /metrics (Prometheus), /metrics.json, /dump, /ready and /live over
+// HTTP, and logs the state dump on SIGUSR1.
 type Server struct {
 	config Config
 	logger logr.Logger
@@ -52,7 +52,8 @@
 	}
 	s.mux.HandleFunc("GET /dump", s.serveDump)
 	s.mux.HandleFunc("GET /live", serveState(config.Live))
-	s.mux.HandleFunc("GET /metrics", s.serveMetrics)
+	s.mux.Handle("GET /metrics", newPrometheusHandler(config.Registry))
+	s.mux.HandleFunc("GET /metrics.json", s.serveMetrics)
 	s.mux.HandleFunc("GET /ready", serveState(config.Ready))
 	return s, nil
 }
--- a/proxy/caller/errors.go
+++ b/proxy/caller/errors.go
@@ -19,6 +19,7 @@
 		c.config.Log.Error(err, "caller: internal error", "requestId", requestID)
 	}
 	c.refused.Mark(1)
+	c.count("refusals/" + string(refused.Reason))
 	failed := connect.NewError(codeOf(refused), errors.New(refused.Error()))
 	message := &callerv1.Refusal{
 		Outcome:              peer.EncodeOutcome(refused.Outcome),
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -164,6 +164,22 @@
 	return nil
 }
 
+// count counts an event. What follows a slash in the name is a label.
+func (c *Caller) count(name string) {
+	metrics.GetOrRegisterCounter("caller."+name, c.config.Metrics).Inc(1)
+}
+
+// countRead counts a read by the role of the member that served it.
+func (c *Caller) countRead(d *dispatch, result *peerv1.ForwardResult) {
+	switch {
+	case !d.read:
+	case result.GetFromReplica():
+		c.count("reads/replica")
+	default:
+		c.count("reads/primary")
+	}
+}
+
 func (c *Caller) version() uint64 {
 	if snapshot := c.config.Configuration.Current(); snapshot != nil {
 		return snapshot.Version()
--- a/proxy/caller/statements.go
+++ b/proxy/caller/statements.go
@@ -94,6 +94,7 @@
 	if refused := peer.DecodeRefusal(result); refused != nil {
 		return nil, refused
 	}
+	c.countRead(d, result)
 	return &callerv1.ExecuteResponse{
 		RowsAffected:         result.GetRowsAffected(),
 		SessionToken:         c.sealToken(r, database, result, !d.read),
@@ -189,6 +190,9 @@
 
 // refuse returns the error of a request for its caller.
 func (c *Caller) refuse(r *request, err error) error {
+	if r.workspace != "" {
+		c.count("workspaceRefusals/" + r.workspace)
+	}
 	version := uint64(0)
 	if r.snapshot != nil {
 		version = r.snapshot.Version()
--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -79,6 +79,7 @@
 	inFlight peer.InFlight
 	shutdown context.CancelFunc
 	steps    metrics.Meter
+	waited   metrics.Timer
 
 	mu           sync.Mutex
 	draining     bool
@@ -105,6 +106,7 @@
 		config:       config,
 		shutdown:     shutdown,
 		steps:        metrics.GetOrRegisterMeter("endpoint.steps", config.Metrics),
+		waited:       metrics.GetOrRegisterTimer("endpoint.queueWait", config.Metrics),
 		nodes:        map[string]*node{},
 		transactions: map[string]*transaction{},
 	}, nil
--- a/proxy/endpoint/node.go
+++ b/proxy/endpoint/node.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/proxy/peer"
@@ -26,6 +28,7 @@
 	shape    shape
 	stop     chan struct{}
 	timer    timer.Service
+	waited   metrics.Timer
 	wake     chan struct{}
 	// warming is held while connections are opened in advance.
 	warming sync.Mutex
@@ -44,13 +47,14 @@
 	run  func() error
 }
 
-func newNode(endpoint string, form shape, queue Queue, connections *pool, service timer.Service) *node {
+func newNode(endpoint string, form shape, queue Queue, connections *pool, service timer.Service, waited metrics.Timer) *node {
 	n := &node{
 		endpoint: endpoint,
 		pool:     connections,
 		shape:    form,
 		stop:     make(chan struct{}),
 		timer:    service,
+		waited:   waited,
 		wake:     make(chan struct{}, form.slots),
 		queue:    queue,
 		tasks:    map[uint64]*task{},
@@ -66,7 +70,10 @@
 func (n *node) submit(ctx context.Context, item scheduling.Item, run func() error) error {
 	waiting := &task{
 		done: make(chan struct{}),
-		run:  run,
+		run: func() error {
+			n.waited.Update(n.timer.Now().Sub(item.Arrived))
+			return run()
+		},
 	}
 	if err := n.enqueue(item, waiting); err != nil {
 		return err
--- a/proxy/endpoint/nodes.go
+++ b/proxy/endpoint/nodes.go
@@ -79,7 +79,7 @@
 		Slots:   form.slots,
 		MaxWait: form.maxWait,
 	})
-	n = newNode(declared.Name, form, queue, connections, h.config.Timer)
+	n = newNode(declared.Name, form, queue, connections, h.config.Timer, h.waited)
 	h.nodes[declared.Name] = n
 	return n
 }
--- a/proxy/failover/database.go
+++ b/proxy/failover/database.go
@@ -48,6 +48,9 @@
 	changed   chan struct{}
 	// ended is set when the watch stops, so that waits end.
 	ended bool
+	// failing is when this VM first suspected the primary, the zero time while it
+	// does not; it is the begin of the duration of a failover.
+	failing time.Time
 	// trail holds the primary's positions as they were seen, for catchUp, the
 	// mean time that each replica takes to reach them.
 	trail   *promotion.Freshness
--- a/proxy/failover/driver.go
+++ b/proxy/failover/driver.go
@@ -45,25 +45,50 @@
 	log := d.part.config.Logger.WithValues("database", d.name)
 	switch x := decision.(type) {
 	case promotion.ConfirmSuspicion:
+		d.beginFailover()
 		d.part.tasks.Go(func() { d.confirm(ctx, x) })
 	case promotion.Fence:
 		log.Info("failover: claim a term", "term", x.Term, "cause", string(x.Cause))
 		d.count("claims")
+		d.beginFailover()
 		d.part.tasks.Go(func() { d.fence(ctx, x) })
 	case promotion.HandOver:
 		log.Info("failover: other VMs reach the endpoint, leave it to them", "endpoint", x.Endpoint)
 		d.count("handOvers")
+		d.endFailover()
 	case promotion.Promote:
 		log.Info("failover: promote", "endpoint", x.Endpoint, "term", x.Term)
 		d.part.tasks.Go(func() { d.promote(ctx, x) })
 	case promotion.Publish:
 		log.Info("failover: new primary", "endpoint", x.Endpoint, "term", x.Term)
 		d.count("promotions")
+		if began := d.endFailover(); !began.IsZero() {
+			took := d.part.config.Timer.Now().Sub(began)
+			metrics.GetOrRegisterTimer("failover.duration", d.part.config.Registry).Update(took)
+		}
 		d.part.tasks.Go(func() { d.publish(ctx, x) })
 	case promotion.None:
 	}
 }
 
+// beginFailover notes the time unless a failover has begun already.
+func (d *database) beginFailover() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failing.IsZero() {
+		d.failing = d.part.config.Timer.Now()
+	}
+}
+
+// endFailover returns when the failover began.
+func (d *database) endFailover() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	began := d.failing
+	d.failing = time.Time{}
+	return began
+}
+
 func (d *database) count(name string) {
 	metrics.GetOrRegisterCounter("failover."+name, d.part.config.Registry).Inc(1)
 }
@@ -96,6 +121,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if reached > 0 {
+		d.failing = time.Time{}
+	}
 	d.monitor.Confirmed(d.part.config.Timer.Now(), suspicion.Endpoint, reached == 0)
 }
 
--- a/proxy/gossip/configuration.go
+++ b/proxy/gossip/configuration.go
@@ -89,6 +89,7 @@
 	}
 	p.current.Store(snapshot)
 	p.encoded = encoded
+	p.gauge("configurationVersion").Update(int64(version))
 	p.refresh()
 	for changes := range p.subscribers {
 		select {
--- a/proxy/gossip/part.go
+++ b/proxy/gossip/part.go
@@ -125,6 +125,10 @@
 	metrics.GetOrRegisterCounter("gossip."+name, p.config.Metrics).Inc(1)
 }
 
+func (p *Part) gauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge("gossip."+name, p.config.Metrics)
+}
+
 // rebuild derives the published view; the caller holds mu.
 func (p *Part) rebuild() {
 	p.revision = p.table.Revision()
@@ -154,6 +158,7 @@
 		p.versions.SetFleet(known)
 	}
 	p.view.Store(next)
+	p.gauge("liveVms").Update(int64(len(next.live)))
 	if p.table.Self().State == membership.Leaving && !p.left {
 		p.left = true
 		close(p.leaving)
--- a/proxy/lending/admit.go
+++ b/proxy/lending/admit.go
@@ -82,6 +82,7 @@
 	s := p.subject(now, name)
 	if len(s.waiters) == 0 && s.share.Take(now, 1) == 1 {
 		p.counts.admitted.Inc(1)
+		s.rate.add(now, 1)
 		return s, nil, nil
 	}
 	if len(p.record.Parts(name)) == 0 {
@@ -143,6 +144,7 @@
 		ahead := float64(len(s.waiters)+1) / rate
 		after = max(after, time.Duration(ahead*float64(time.Second)))
 	}
+	p.countWrongful(now, s)
 	refused := refusal.NewNotRun(refusal.RateExceeded, "the subject's rate and burst are used up")
 	refused.RetryAfter = after
 	return refused
@@ -190,6 +192,7 @@
 	}
 	s.waiters = slices.Delete(s.waiters, 0, count)
 	p.counts.admitted.Inc(int64(count))
+	s.rate.add(p.config.Timer.Now(), int64(count))
 }
 
 func notReady(message string) *refusal.Error {
--- a/proxy/lending/borrow.go
+++ b/proxy/lending/borrow.go
@@ -79,6 +79,7 @@
 	if !ok {
 		return nil, eris.Errorf("lending: the address of %s is unknown", ask.Lender)
 	}
+	p.counts.loans.Inc(1)
 	ctx, cancel := timer.WithTimeout(p.calls, p.config.Timer, limits.LoanBound)
 	defer cancel()
 	return p.config.Dial(address).Borrow(ctx, &peerv1.BorrowRequest{
--- a/proxy/lending/lending.go
+++ b/proxy/lending/lending.go
@@ -85,11 +85,12 @@
 	asked   map[string]int64
 	waiters []*waiter
 	pumping bool
+	rate    admittedRate
 	wake    chan struct{}
 }
 
 type counts struct {
-	admitted, borrowed, discarded, lent, refused, writes metrics.Counter
+	admitted, borrowed, discarded, lent, loans, refused, writes, wrongful metrics.Counter
 }
 
 // New returns a Part that admits nothing until Run has read the share record.
@@ -120,8 +121,10 @@
 		borrowed:  counter("borrowedTokens"),
 		discarded: counter("discardedTokens"),
 		lent:      counter("lentTokens"),
+		loans:     counter("loans"),
 		refused:   counter("refused"),
 		writes:    counter("recordWrites"),
+		wrongful:  counter("wrongfulRefusals"),
 	}
 	return p, nil
 }
--- a/proxy/lending/lending_test.go
+++ b/proxy/lending/lending_test.go
@@ -242,6 +242,17 @@
 		Expect(float64(admitted)).To(BeNumerically("<=", math.Floor(41+10*elapsed)))
 	})
 
+	It("counts a refusal as wrongful only while the VM admits less than its share", func() {
+		f := newFleet(10, 41, "a", "b")
+		f.settle()
+		wrongful := f.parts["a"].counts.wrongful
+		Expect(f.admit("a")).To(HaveOccurred())
+		Expect(wrongful.Count()).To(Equal(int64(1)))
+		f.clock.Advance(time.Minute)
+		f.drain("a", 200)
+		Expect(wrongful.Count()).To(Equal(int64(1)))
+	})
+
 	It("discards loans that arrive late", func() {
 		f := newFleet(10, 41, "a", "b")
 		f.settle()
--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -39,6 +39,9 @@
 	observe  *observe.Server
 	operator *operator.Operator
 	peer     *peer.Handler
+	// messages and peerConnections count the traffic of the peer listener.
+	messages        *peer.MessageTraffic
+	peerConnections *peer.ConnectionTraffic
 }
 
 // builder holds what all parts share while they are made.
@@ -61,9 +64,13 @@
 		timer:    timer.NewSystem(),
 		made:     &parts{},
 	}
+	b.made.messages = peer.NewMessageTraffic(b.registry)
+	b.made.peerConnections = peer.NewConnectionTraffic("peer.server", b.registry)
 	b.peers = peer.NewClients(peer.ClientConfig{
-		From: b.settings().PeerListen.Addr(),
-		TLS:  loaded.PeerClientTLS,
+		From:        b.settings().PeerListen.Addr(),
+		Connections: peer.NewConnectionTraffic("peer.client", b.registry),
+		Messages:    b.made.messages,
+		TLS:         loaded.PeerClientTLS,
 	})
 	b.made.dumps = observe.NewDumps(observe.DumpsConfig{
 		VM:    b.settings().VM,
@@ -105,10 +112,12 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// dialEndpoint returns a dial function with a client for each endpoint address.
-func (b *builder) dialEndpoint() func(netip.AddrPort) endpointv1connect.EndpointServiceClient {
+// dialEndpoint returns a dial function with a client for each endpoint address;
+// the traffic is counted under the name.
+func (b *builder) dialEndpoint(name string) func(netip.AddrPort) endpointv1connect.EndpointServiceClient {
 	client := peer.NewHTTPClient(peer.ClientConfig{
-		From: b.settings().PeerListen.Addr(),
+		From:        b.settings().PeerListen.Addr(),
+		Connections: peer.NewConnectionTraffic(name, b.registry),
 	})
 	return func(address netip.AddrPort) endpointv1connect.EndpointServiceClient {
 		return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String())
@@ -117,7 +126,8 @@
 
 func (b *builder) makeStore() error {
 	client := peer.NewHTTPClient(peer.ClientConfig{
-		From: b.settings().PeerListen.Addr(),
+		From:        b.settings().PeerListen.Addr(),
+		Connections: peer.NewConnectionTraffic("platform", b.registry),
 	})
 	store, err := platform.New(platform.Config{
 		Service: platformv1connect.NewPlatformServiceClient(client, "http://"+b.settings().PlatformAddress.String()),
@@ -152,7 +162,7 @@
 	part, err := failover.New(failover.Config{
 		Configuration: b.made.gossip,
 		Dial:          b.peers.Dial,
-		DialEndpoint:  b.dialEndpoint(),
+		DialEndpoint:  b.dialEndpoint("failover.status"),
 		Directory:     b.made.gossip,
 		Logger:        b.logger.WithName("failover"),
 		Registry:      b.registry,
@@ -182,7 +192,7 @@
 func (b *builder) makeHome() error {
 	home, err := endpoint.New(endpoint.Config{
 		Configuration: b.made.gossip,
-		Dial:          b.dialEndpoint(),
+		Dial:          b.dialEndpoint("endpoint.steps"),
 		Directory:     b.made.gossip,
 		Log:           b.logger.WithName("endpoint"),
 		Metrics:       b.registry,
--- a/proxy/peer/dial.go
+++ b/proxy/peer/dial.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
 )
 
@@ -45,14 +47,19 @@
 	// From is the address that connections leave from; the system's choice if it
 	// is not valid.
 	From netip.Addr
+	// Connections counts the bytes; nil counts nothing.
+	Connections *ConnectionTraffic
+	// Messages counts the messages of Clients; nil counts nothing.
+	Messages *MessageTraffic
 	// TLS of the peers; nil for plain text.
 	TLS *tls.Config
 }
 
 // Clients caches one client for each address. It is safe for concurrent use.
 type Clients struct {
-	http   *http.Client
-	scheme string
+	http    *http.Client
+	options []connect.ClientOption
+	scheme  string
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]peerv1connect.PeerServiceClient
@@ -60,11 +67,15 @@
 
 // NewClients returns an empty cache.
 func NewClients(config ClientConfig) *Clients {
-	return &Clients{
+	c := &Clients{
 		http:    NewHTTPClient(config),
 		scheme:  Scheme(config.TLS),
 		clients: map[netip.AddrPort]peerv1connect.PeerServiceClient{},
 	}
+	if config.Messages != nil {
+		c.options = append(c.options, connect.WithInterceptors(config.Messages))
+	}
+	return c
 }
 
 // Dial returns the client of an address. It connects when it is first used.
@@ -73,7 +84,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[address]
 	if !ok {
-		client = peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address.String())
+		client = peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address.String(), c.options...)
 		c.clients[address] = client
 	}
 	return client
@@ -98,7 +109,7 @@
 				if err != nil {
 					return nil, &DialError{cause: err}
 				}
-				return conn, nil
+				return config.Connections.wrap(conn), nil
 			},
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: pingAfter,
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
@@ -130,6 +131,30 @@
 		Expect(got).To(Equal(3))
 	})
 
+	It("counts messages by purpose and the bytes of connections", func() {
+		address, _ := serve(&home{forward: rows(3, 3)})
+		registry := metrics.NewRegistry()
+		clients := peer.NewClients(peer.ClientConfig{
+			Connections: peer.NewConnectionTraffic("peer.client", registry),
+			Messages:    peer.NewMessageTraffic(registry),
+		})
+		stream, err := clients.Dial(address).Forward(context.Background(), &peerv1.ForwardRequest{Database: "d"})
+		Expect(err).NotTo(HaveOccurred())
+		for stream.Receive() {
+			continue
+		}
+		_, err = clients.Dial(address).Probe(context.Background(), &peerv1.ProbeRequest{From: "v"})
+		Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnimplemented))
+		count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, registry).Count() }
+		Expect(count("peer.forward.messagesSent")).To(Equal(int64(1)))
+		Expect(count("peer.forward.bytesSent")).To(Equal(int64(3)))
+		Expect(count("peer.forward.messagesReceived")).To(Equal(int64(4)))
+		Expect(count("peer.gossip.messagesSent")).To(Equal(int64(1)))
+		Expect(count("peer.gossip.messagesReceived")).To(BeZero())
+		Expect(count("peer.client.bytesWritten")).To(BeNumerically(">", count("peer.forward.bytesSent")))
+		Expect(count("peer.client.bytesRead")).To(BeNumerically(">", count("peer.forward.bytesReceived")))
+	})
+
 	It("proves that a request to a closed port was not run", func() {
 		address, end := serve(&home{})
 		end()
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -10,12 +10,14 @@
 	"os"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
 	"amaranthdock.dev/observe"
+	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/settings"
 	"amaranthdock.dev/timer"
 )
@@ -37,6 +39,8 @@
 	listen netip.AddrPort
 	tls    *tls.Config
 	http   *http.Server
+	// traffic counts the connections unless it is nil.
+	traffic *peer.ConnectionTraffic
 }
 
 // run serves until the context ends and then shuts down gracefully.
@@ -83,12 +87,14 @@
 	callers := http.NewServeMux()
 	callers.Handle(p.caller.HTTPHandler())
 	peers := http.NewServeMux()
-	peers.Handle(peerv1connect.NewPeerServiceHandler(p.peer))
+	peers.Handle(peerv1connect.NewPeerServiceHandler(p.peer, connect.WithInterceptors(p.messages)))
 	operators := http.NewServeMux()
 	operators.Handle(p.operator.Handler())
+	peerServer := newServer("peer", s.PeerListen, loaded.PeerServerTLS, peers)
+	peerServer.traffic = p.peerConnections
 	return []*server{
 		newServer("caller", s.CallerListen, loaded.CallerTLS, callers),
-		newServer("peer", s.PeerListen, loaded.PeerServerTLS, peers),
+		peerServer,
 		newServer("operator", s.OperatorListen, loaded.OperatorTLS, operators),
 	}
 }
@@ -116,6 +122,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s", s.name)
 	}
+	if s.traffic != nil {
+		listener = s.traffic.Listen(listener)
+	}
 	if s.tls != nil {
 		err = s.http.ServeTLS(listener, "", "")
 	} else {
