Spend less per statement, stream and tick as the fleet grows

Cause: measurements of a fleet at rest showed work that is not needed. routing.Home sorted and copied the fleet for every statement; the failover part ranked every endpoint of the configuration each 50 ms; all answers, nearly all below 200 bytes, were compressed with gzip; each open HTTP/2 stream kept a request buffer of 512 KiB, because Go's server allows frames of 1 MiB.

Ruled out: no ping of idle peer connections. The pings grow with the fleet, but they are what ends a request to a frozen home.

Result: go test passes in proxy, decision/routing and standin/member.

--- a/decision/routing/vm.go
+++ b/decision/routing/vm.go
@@ -7,6 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// separator of the name and the key in a score.
+const separator = "\x00"
+
 // VM is a proxy as the routing sees it.
 type VM struct {
 	Name   string
@@ -17,17 +20,47 @@
 // Home returns the home of a key (an endpoint): the best-ranked live VM of the
 // place, else of the region, else of all. It returns false if live is empty.
 func Home(key, place, region string, live []VM) (VM, bool) {
-	candidates := filter(live, func(v VM) bool { return v.Place == place })
-	if len(candidates) == 0 {
-		candidates = filter(live, func(v VM) bool { return v.Region == region })
+	if home, ok := first(key, live, func(v *VM) bool { return v.Place == place }); ok {
+		return home, true
+	}
+	if home, ok := first(key, live, func(v *VM) bool { return v.Region == region }); ok {
+		return home, true
 	}
-	if len(candidates) == 0 {
-		candidates = live
+	return first(key, live, func(*VM) bool { return true })
+}
+
+// first returns the best-ranked of the candidates that are eligible. Each
+// statement needs it, so it neither sorts nor copies the fleet.
+func first(key string, candidates []VM, eligible func(*VM) bool) (VM, bool) {
+	var (
+		best  *VM
+		score uint64
+	)
+	for i := range candidates {
+		v := &candidates[i]
+		if !eligible(v) {
+			continue
+		}
+		s := scoreOf(key, v.Name)
+		if best == nil || s > score || (s == score && v.Name < best.Name) {
+			best, score = v, s
+		}
 	}
-	if len(candidates) == 0 {
+	if best == nil {
 		return VM{}, false
 	}
-	return Rank(key, candidates)[0], true
+	return *best, true
+}
+
+// scoreOf a VM in the ranking by a key. The digest stays on the stack.
+func scoreOf(key, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	// Writes to a digest never fail.
+	_, _ = digest.WriteString(name)
+	_, _ = digest.WriteString(separator)
+	_, _ = digest.WriteString(key)
+	return digest.Sum64()
 }
 
 // Rank sorts the candidates by rendezvous hashing on the key, best first. All
@@ -41,7 +74,7 @@
 	for _, v := range candidates {
 		scores = append(scores, scored{
 			vm:    v,
-			score: xxhash.Sum64String(v.Name + "\x00" + key),
+			score: scoreOf(key, v.Name),
 		})
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
@@ -62,13 +95,3 @@
 	}
 	return ranked
 }
-
-func filter(vms []VM, keep func(VM) bool) []VM {
-	var kept []VM
-	for _, v := range vms {
-		if keep(v) {
-			kept = append(kept, v)
-		}
-	}
-	return kept
-}
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -129,7 +129,7 @@
 
 // HTTPHandler returns the path of the service and its handler.
 func (c *Caller) HTTPHandler() (string, http.Handler) {
-	path, handler := callerv1connect.NewCallerServiceHandler(c, connect.WithReadMaxBytes(c.config.MaxRequestBytes))
+	path, handler := callerv1connect.NewCallerServiceHandler(c, connect.WithReadMaxBytes(c.config.MaxRequestBytes), peer.HandlerOptions())
 	writer := connect.NewErrorWriter()
 	return path, http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		defer c.inFlight.Begin()()
--- a/proxy/failover/part.go
+++ b/proxy/failover/part.go
@@ -71,6 +71,9 @@
 type Part struct {
 	config Config
 
+	// reconciled is what the watches were last brought up to; only Run uses it.
+	reconciled reconciled
+
 	mu        sync.Mutex
 	databases map[string]*database
 	views     map[string]*cachedView
@@ -126,6 +129,13 @@
 	}
 }
 
+// reconciled is a configuration and a membership. Ranking the endpoints of all
+// databases costs too much to be done on every tick.
+type reconciled struct {
+	snapshot *declaration.Snapshot
+	live     []routing.VM
+}
+
 // reconcile starts and stops the watches of databases as homes move.
 func (p *Part) reconcile(ctx context.Context) {
 	snapshot := p.config.Configuration.Current()
@@ -133,6 +143,13 @@
 		return
 	}
 	live := p.config.Directory.Live()
+	if p.reconciled.snapshot == snapshot && slices.Equal(p.reconciled.live, live) {
+		return
+	}
+	p.reconciled = reconciled{
+		snapshot: snapshot,
+		live:     live,
+	}
 	self := p.config.Directory.Self().Name
 	wanted := map[string]bool{}
 	for _, declared := range snapshot.Databases() {
--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -120,7 +120,7 @@
 		Connections: peer.NewConnectionTraffic(name, b.registry),
 	})
 	return func(address netip.AddrPort) endpointv1connect.EndpointServiceClient {
-		return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String())
+		return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String(), peer.ClientOptions()...)
 	}
 }
 
@@ -130,7 +130,7 @@
 		Connections: peer.NewConnectionTraffic("platform", b.registry),
 	})
 	store, err := platform.New(platform.Config{
-		Service: platformv1connect.NewPlatformServiceClient(client, "http://"+b.settings().PlatformAddress.String()),
+		Service: platformv1connect.NewPlatformServiceClient(client, "http://"+b.settings().PlatformAddress.String(), peer.ClientOptions()...),
 		Timer:   b.timer,
 		Logger:  b.logger.WithName("platform"),
 		Metrics: b.registry,
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -87,7 +87,7 @@
 	callers := http.NewServeMux()
 	callers.Handle(p.caller.HTTPHandler())
 	peers := http.NewServeMux()
-	peers.Handle(peerv1connect.NewPeerServiceHandler(p.peer, connect.WithInterceptors(p.messages)))
+	peers.Handle(peerv1connect.NewPeerServiceHandler(p.peer, connect.WithInterceptors(p.messages), peer.HandlerOptions()))
 	operators := http.NewServeMux()
 	operators.Handle(p.operator.Handler())
 	peerServer := newServer("peer", s.PeerListen, loaded.PeerServerTLS, peers)
@@ -110,6 +110,7 @@
 		tls:    config,
 		http: &http.Server{
 			Handler:           handler,
+			HTTP2:             peer.ServerHTTP2(),
 			Protocols:         protocols,
 			ReadHeaderTimeout: readHeaderTimeout,
 			TLSConfig:         config,
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -111,6 +111,10 @@
 	return m, nil
 }
 
+// maxFrameBytes is the least that HTTP/2 allows. A client keeps a buffer of this
+// size for each open connection of the protocol.
+const maxFrameBytes = 16 << 10
+
 // Handler returns the handler of the listener: the endpoint and replication
 // services and the test hooks.
 func (m *Member) Handler() http.Handler {
@@ -134,7 +138,10 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	server := &http.Server{
-		Handler:   m.Handler(),
+		Handler: m.Handler(),
+		HTTP2: &http.HTTP2Config{
+			MaxReadFrameSize: maxFrameBytes,
+		},
 		Protocols: plainProtocols(),
 		BaseContext: func(net.Listener) context.Context {
 			return ctx
