Find lenders without a map of the fleet

Cause: each round of borrowing put the names of all live VMs into a map, to look up at most 8 holders.

Change: the live VMs are sorted by name; a binary search finds a holder.

Ruled out: a map kept beside the view, because the search is cheap enough.

Conclusion: the cost of a loan no longer grows with the fleet.

--- a/proxy/lending/borrow.go
+++ b/proxy/lending/borrow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -10,6 +12,7 @@
 
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/timer"
 )
 
@@ -104,16 +107,21 @@
 	return granted, remaining, s.share.Until(now, remaining+1), true
 }
 
+// contains looks for a VM in a list that is sorted by name.
+func contains(live []routing.VM, name string) bool {
+	_, found := slices.BinarySearchFunc(live, name, func(v routing.VM, name string) int {
+		return strings.Compare(v.Name, name)
+	})
+	return found
+}
+
 // lenders returns the other holders that are live. The caller holds mu.
 func (p *Part) lenders(s *subject) []limits.Lender {
-	live := map[string]bool{}
-	for _, v := range p.config.Directory.Live() {
-		live[v.Name] = true
-	}
+	live := p.config.Directory.Live()
 	limit := p.limit(s.name)
 	var lenders []limits.Lender
 	for _, part := range p.record.Parts(s.name) {
-		if part.VM == p.self || !live[part.VM] {
+		if part.VM == p.self || !contains(live, part.VM) {
 			continue
 		}
 		capacity, rate := limit.Of(part.Millionths)
--- a/proxy/lending/lending.go
+++ b/proxy/lending/lending.go
@@ -44,6 +44,7 @@
 // Directory is what the part needs of the membership.
 type Directory interface {
 	Address(vm string) (netip.AddrPort, bool)
+	// Live returns the live VMs, sorted by name.
 	Live() []routing.VM
 	Self() routing.VM
 }
