Measure what a proxy costs as the fleet grows

Cause: the growth target had no figures.

Change: `loadtool capacity` (make capacity) starts fleets of 7, 14, 28 and 56 proxies as processes, at rest and under a light load, and reads processor time and memory from /proc, traffic from the processes' metrics, calls from the stand-in platform, the time of a configuration change and of dropping a killed VM. Further series vary the databases, the workspaces, the held client connections and the statements at one entry, with own tokens and with borrowed ones. Each measure gets a least-squares line. Bounded at 6 minutes, at most 75 processes at once.

Ruled out: a constant number of endpoints for each VM. 24 databases at 56 VMs were tried; load average rose above 90 on 10 cores, and the trial was ended. The fleets keep 3 databases, and the page corrects for that.

The harness no longer panics when a deployment ends before all of its processes started, which happened in that trial.

Conclusion: the figures go into docs/CAPACITY.md.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 TOOL := GOWORK=off go -C tools build -o ../bin/
 
-.PHONY: all bench build check demo fmt generate lint test tidy tools
+.PHONY: all bench build capacity check demo fmt generate lint test tidy tools
 
 all: build
 
@@ -16,6 +16,11 @@
 	go build -o bin/amaranthdock ./proxy
 	go build -o bin/ ./amaranthctl ./loadtool ./standin
 
+# capacity measures the figures of docs/CAPACITY.md; at most 6 minutes.
+capacity: build
+	@mkdir -p results
+	bin/loadtool capacity --bin bin --json results/capacity.json
+
 # check is what CI runs.
 check: lint test
 
--- /dev/null
+++ b/loadtool/capacity.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"amaranthdock.dev/loadtool/capacity"
+	"amaranthdock.dev/timer"
+)
+
+func addCapacity(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("capacity", "Measure what a proxy costs and how that grows with the fleet.")
+	bin := command.Flag("bin", "Directory of the programs.").Default("bin").String()
+	file := command.Flag("json", "File for the report in JSON.").String()
+	series := command.Flag("series", "Series to measure; default: all.").Enums(capacity.Names()...)
+	command.Action(func(*kingpin.ParseContext) error {
+		config := capacity.Config{
+			BinDir: *bin,
+			Output: os.Stdout,
+			Timer:  timer.NewSystem(),
+			Series: *series,
+		}
+		if *file == "" {
+			return capacity.Run(ctx, config)
+		}
+		output, err := os.Create(*file)
+		if err != nil {
+			return eris.Wrap(err, "create the report")
+		}
+		config.JSON = output
+		return closeAfter(output, capacity.Run(ctx, config))
+	})
+}
+
+// closeAfter closes a file and returns the first error.
+func closeAfter(file io.Closer, err error) error {
+	if closeErr := file.Close(); err == nil && closeErr != nil {
+		return eris.Wrap(closeErr, "close the report")
+	}
+	return err
+}
--- a/loadtool/harness/process.go
+++ b/loadtool/harness/process.go
@@ -68,7 +68,9 @@
 	if err := p.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
-	<-p.Done()
+	if done := p.Done(); done != nil {
+		<-done
+	}
 	return nil
 }
 
@@ -116,6 +118,9 @@
 func (p *Process) signal(signal syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.command == nil {
+		return nil
+	}
 	select {
 	case <-p.done:
 		return nil
--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -19,6 +19,7 @@
 	app.HelpFlag.Short('h')
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
+	addCapacity(ctx, app)
 	addDemo(ctx, app)
 	addServe(ctx, app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
