--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -22,6 +22,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	addBench(app)
+	addCapacity(ctx, app)
 	addDemo(ctx, app)
 	addServe(ctx, app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -129,7 +129,7 @@
 
 // HTTPHandler returns the path of the service and its handler.
 func (c *Caller) HTTPHandler() (string, http.Handler) {
-	path, handler := callerv1connect.NewCallerServiceHandler(c, connect.WithReadMaxBytes(c.config.MaxRequestBytes))
+	path, handler := callerv1connect.NewCallerServiceHandler(c, connect.WithReadMaxBytes(c.config.MaxRequestBytes), peer.HandlerOptions())
 	writer := connect.NewErrorWriter()
 	return path, http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		defer c.inFlight.Begin()()
@@ -164,6 +164,22 @@
 	return nil
 }
 
+// count counts an event. What follows a slash in the name is a label.
+func (c *Caller) count(name string) {
+	metrics.GetOrRegisterCounter("caller."+name, c.config.Metrics).Inc(1)
+}
+
+// countRead counts a read by the role of the member that served it.
+func (c *Caller) countRead(d *dispatch, result *peerv1.ForwardResult) {
+	switch {
+	case !d.read:
+	case result.GetFromReplica():
+		c.count("reads/replica")
+	default:
+		c.count("reads/primary")
+	}
+}
+
 func (c *Caller) version() uint64 {
 	if snapshot := c.config.Configuration.Current(); snapshot != nil {
 		return snapshot.Version()
