Count the bytes of TLS connections to peers again

Cause: the dial with the handshake went past the counting connection. Change: the handshake runs over the counted connection. Conclusion: traffic figures hold with TLS, too.

--- a/proxy/peer/dial.go
+++ b/proxy/peer/dial.go
@@ -116,7 +116,7 @@
 				PingTimeout:     pingTimeout,
 			},
 			DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				return dialTLS(ctx, dialer, config.TLS, network, address)
+				return dialTLS(ctx, dialer, config, network, address)
 			},
 			Protocols:           protocols,
 			TLSClientConfig:     config.TLS,
@@ -127,18 +127,26 @@
 
 // dialTLS connects and shakes hands, so that a failed handshake, too, is known to
 // come before any request.
-func dialTLS(ctx context.Context, dialer *net.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
+func dialTLS(ctx context.Context, dialer *net.Dialer, config ClientConfig, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	config = config.Clone()
-	config.NextProtos = []string{"h2"}
-	conn, err := (&tls.Dialer{
-		NetDialer: dialer,
-		Config:    config,
-	}).DialContext(ctx, network, address)
+	raw, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, &DialError{cause: err}
 	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, &DialError{cause: errors.Join(err, raw.Close())}
+	}
+	session := config.TLS.Clone()
+	session.NextProtos = []string{"h2"}
+	if session.ServerName == "" {
+		session.ServerName = host
+	}
+	conn := tls.Client(config.Connections.wrap(raw), session)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return nil, &DialError{cause: errors.Join(err, raw.Close())}
+	}
 	return conn, nil
 }
 
