Let the second rank of a home write at once

Cause: a killed home is dropped from the membership after 1.3 to 1.5 s. The entry goes to the second rank as soon as the home cannot be reached, but that VM did not watch the database and refused writes as replicationStalled. Change: a step that comes as to the second rank makes the VM watch the database for 5 s (failover.Attend). Ruled out: watching as second rank all the time; it doubles the status streams. The gap after the kill of a proxy was not measured alone on this machine.

--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -76,11 +76,18 @@
 	lost      bool
 	confirmed bool
 
+	attended   []string
 	resolution failover.Resolution
 	// resolved holds the terms that were asked about.
 	resolved []uint64
 }
 
+func (o *observer) Attend(database string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attended = append(o.attended, database)
+}
+
 func (o *observer) Durable(string) (logpos.Position, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -48,6 +48,8 @@
 
 // Observer knows the members of the databases.
 type Observer interface {
+	// Attend watches a database for a while that has no endpoint homed here.
+	Attend(database string)
 	Durable(database string) (logpos.Position, bool)
 	// Outcome tells whether a write is done; a write that is not found is unknown.
 	Outcome(ctx context.Context, database, requestID string) failover.Resolution
--- a/proxy/endpoint/nodes.go
+++ b/proxy/endpoint/nodes.go
@@ -16,7 +16,13 @@
 	if !ok {
 		return nil, nil, refusal.NewNotRun(refusal.NotReady, "the endpoint is not in the configuration of its home")
 	}
-	if !h.isHome(snapshot, declared) {
+	switch h.rank(snapshot, declared) {
+	case firstRank:
+	case secondRank:
+		if database, ok := snapshot.DatabaseOf(endpoint); ok {
+			h.config.Observer.Attend(database.Name)
+		}
+	default:
 		return nil, nil, refusal.NewNotRun(refusal.NotHome, "the VM is not the home of the endpoint")
 	}
 	h.mu.Lock()
@@ -28,20 +34,35 @@
 	return n, n.inFlight.Begin(), nil
 }
 
-// isHome accepts the first and the second rank: the second takes over while the
-// first is alone in being unable to reach the endpoint, and while the views of
-// the membership differ. Each uses at most half of the endpoint's connections.
-func (h *Home) isHome(snapshot *declaration.Snapshot, declared *declaration.Endpoint) bool {
+// homeRank is the rank of this VM among the homes of an endpoint.
+type homeRank int
+
+// Steps are accepted by the first and the second rank: the second takes over
+// while the first is alone in being unable to reach the endpoint, and while the
+// views of the membership differ. Each uses at most half of the endpoint's
+// connections.
+const (
+	noRank homeRank = iota
+	firstRank
+	secondRank
+)
+
+func (h *Home) rank(snapshot *declaration.Snapshot, declared *declaration.Endpoint) homeRank {
 	self := h.config.Directory.Self().Name
 	live := h.config.Directory.Live()
 	region := snapshot.RegionOf(declared.Place)
 	first, ok := routing.Home(declared.Name, declared.Place, region, live)
-	if !ok || first.Name == self {
-		return ok
+	switch {
+	case !ok:
+		return noRank
+	case first.Name == self:
+		return firstRank
 	}
 	rest := slices.DeleteFunc(slices.Clone(live), func(v routing.VM) bool { return v.Name == first.Name })
-	second, ok := routing.Home(declared.Name, declared.Place, region, rest)
-	return ok && second.Name == self
+	if second, ok := routing.Home(declared.Name, declared.Place, region, rest); !ok || second.Name != self {
+		return noRank
+	}
+	return secondRank
 }
 
 // isFirstHome tells whether this VM is the first rank for an endpoint.
--- /dev/null
+++ b/proxy/failover/attend.go
@@ -0,0 +1,37 @@
+package failover
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// attendTime is how long a database stays watched after the last step that came
+// here as to the second rank. It is longer than a lost home takes to be replaced.
+const attendTime = 5 * time.Second
+
+// Attend watches a database that has no endpoint homed here, because this VM
+// stands in for a home that was lost but is not yet known to be.
+func (p *Part) Attend(database string) {
+	p.mu.Lock()
+	_, known := p.attended[database]
+	p.attended[database] = p.config.Timer.Now().Add(attendTime)
+	p.mu.Unlock()
+	if known {
+		return
+	}
+	select {
+	case p.attend <- struct{}{}:
+	default:
+		// The loop is about to look already.
+	}
+}
+
+// takeAttended forgets what has expired and returns the rest, sorted.
+func (p *Part) takeAttended() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Timer.Now()
+	maps.DeleteFunc(p.attended, func(_ string, until time.Time) bool { return now.After(until) })
+	return slices.Sorted(maps.Keys(p.attended))
+}
--- a/proxy/failover/failover_test.go
+++ b/proxy/failover/failover_test.go
@@ -158,6 +158,15 @@
 		}).Should(Succeed())
 		expectRefusal(v.part.WaitDurable(ctx, "flock", position), refusal.Unknown, refusal.NotHome)
 	})
+
+	It("watches a database that it attends (guards against writes that wait until a lost home is dropped)", func() {
+		v := c.vms[0]
+		c.live.Store(&[]routing.VM{c.vms[1].self})
+		Eventually(func() bool { return v.part.WritesHealthy("flock") }).Should(BeFalse())
+		Consistently(func() bool { return v.part.WritesHealthy("flock") }, 200*time.Millisecond).Should(BeFalse())
+		v.part.Attend("flock")
+		Eventually(func() bool { return v.part.WritesHealthy("flock") }).Should(BeTrue())
+	})
 })
 
 // expectRefusal guards against a wrong outcome or reason.
--- a/proxy/failover/part.go
+++ b/proxy/failover/part.go
@@ -74,7 +74,13 @@
 	// reconciled is what the watches were last brought up to; only Run uses it.
 	reconciled reconciled
 
-	mu        sync.Mutex
+	// attend wakes Run when a database is attended anew.
+	attend chan struct{}
+
+	mu sync.Mutex
+	// attended databases are watched until the time although they have no
+	// endpoint that is homed here.
+	attended  map[string]time.Time
 	databases map[string]*database
 	views     map[string]*cachedView
 	fetching  map[string]bool
@@ -98,6 +104,8 @@
 		config.SampleInterval = defaultSampleInterval
 	}
 	return &Part{
+		attend:    make(chan struct{}, 1),
+		attended:  map[string]time.Time{},
 		config:    config,
 		databases: map[string]*database{},
 		views:     map[string]*cachedView{},
@@ -124,6 +132,7 @@
 			p.stopAll()
 			return nil
 		case <-changes:
+		case <-p.attend:
 		case <-ticks.C():
 		}
 	}
@@ -134,6 +143,7 @@
 type reconciled struct {
 	snapshot *declaration.Snapshot
 	live     []routing.VM
+	attended []string
 }
 
 // reconcile starts and stops the watches of databases as homes move.
@@ -143,12 +153,15 @@
 		return
 	}
 	live := p.config.Directory.Live()
-	if p.reconciled.snapshot == snapshot && slices.Equal(p.reconciled.live, live) {
+	attended := p.takeAttended()
+	if p.reconciled.snapshot == snapshot && slices.Equal(p.reconciled.live, live) &&
+		slices.Equal(p.reconciled.attended, attended) {
 		return
 	}
 	p.reconciled = reconciled{
 		snapshot: snapshot,
 		live:     live,
+		attended: attended,
 	}
 	self := p.config.Directory.Self().Name
 	wanted := map[string]bool{}
@@ -156,7 +169,10 @@
 		claimants := claimants(snapshot, declared, live)
 		rank := slices.Index(claimants, self)
 		if rank < 0 {
-			continue
+			if !slices.Contains(attended, declared.Name) {
+				continue
+			}
+			rank = len(claimants)
 		}
 		wanted[declared.Name] = true
 		p.ensure(ctx, snapshot, declared).update(ctx, snapshot, declared, claimants, rank)
