Measure a fleet at rest before waiting for it to serve

Cause: the fleet of 56 VMs was lost as a whole when the machine was too busy for loans within 100 ms, so that a VM refused reads for 30 s.

--- a/loadtool/capacity.go
+++ b/loadtool/capacity.go
@@ -17,12 +17,14 @@
 	bin := command.Flag("bin", "Directory of the programs.").Default("bin").String()
 	file := command.Flag("json", "File for the report in JSON.").String()
 	series := command.Flag("series", "Series to measure; default: all.").Enums(capacity.Names()...)
+	vms := command.Flag("vms", "Size of a fleet of the series vms; may be repeated.").Default("7", "14", "28", "56").Ints()
 	command.Action(func(*kingpin.ParseContext) error {
 		config := capacity.Config{
 			BinDir: *bin,
 			Output: os.Stdout,
 			Timer:  timer.NewSystem(),
 			Series: *series,
+			VMs:    *vms,
 		}
 		if *file == "" {
 			return capacity.Run(ctx, config)
--- a/loadtool/capacity/capacity.go
+++ b/loadtool/capacity/capacity.go
@@ -27,6 +27,8 @@
 	Timer timer.Service
 	// Series to measure; all if empty.
 	Series []string
+	// VMs holds the sizes of the fleets of the series "vms".
+	VMs []int
 }
 
 const (
--- a/loadtool/capacity/series.go
+++ b/loadtool/capacity/series.go
@@ -25,7 +25,7 @@
 // The endpoints of each VM decrease with the fleet; the series "databases" tells
 // what they cost.
 func (r *runner) varyVMs(ctx context.Context) error {
-	for _, vms := range []int{7, 14, 28, 56} {
+	for _, vms := range r.config.VMs {
 		if err := r.measureFleet(ctx, vms); err != nil {
 			return err
 		}
@@ -46,10 +46,10 @@
 		return err
 	}
 	defer f.stop()
-	if err := f.waitServing(ctx); err != nil {
+	if err := r.measureWindow(ctx, f, name, idle, x); err != nil {
 		return err
 	}
-	if err := r.measureWindow(ctx, f, name, idle, x); err != nil {
+	if err := f.waitServing(ctx); err != nil {
 		return err
 	}
 	load := f.mixed(ctx, lightRate)
