Stop a deployment whose start failed half way

Cause: members that were never started have no process, and Stop panicked on them.

Change: Stop leaves out members without a process.

Ruled out: a process value made before the start, because its state would have to tell that it never ran.

Conclusion: an interrupted start ends with its own error.

--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -185,7 +185,10 @@
 		processes = append(processes, v.Process)
 	}
 	for _, m := range d.Members {
-		processes = append(processes, m.Process)
+		// A start that failed leaves members without a process.
+		if m.Process != nil {
+			processes = append(processes, m.Process)
+		}
 	}
 	if d.Platform != nil {
 		processes = append(processes, d.Platform)
