--- a/loadtool/bench/bench.go
+++ b/loadtool/bench/bench.go
@@ -50,6 +50,7 @@
 	report.Results = append(report.Results, overload(config)...)
 	report.Results = append(report.Results, limited(config)...)
 	report.Results = append(report.Results, retried(config)...)
+	report.Results = append(report.Results, homes(config)...)
 	return report
 }
 
--- /dev/null
+++ b/loadtool/bench/values.go
@@ -0,0 +1,19 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+func ratio(part, whole int) float64 {
+	return float64(part) / float64(max(whole, 1))
+}
+
+func milliseconds(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtPercentile(percentile)) / 1000
+}
+
+func newLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+}
