Wait for a replica by its expected catch-up, not by its age

Cause: the home took the bound of the data's age as the time to catch up. The age grows up to 100 ms between two samples and while the primary stands still, so replicas that were 5 ms behind refused reads, which then crossed regions. Change: ServeRead takes the expected catch-up; the home passes the mean delay that the observer measures. The benchmark gets a section on the choice of replicas, with sessions that read at once after a write, and with stated ages.

--- a/decision/routing/route_test.go
+++ b/decision/routing/route_test.go
@@ -109,6 +109,8 @@
 			View:             newView(),
 			Primary:          sites[0],
 			Freshness:        freshness,
+			CatchUp:          5 * time.Millisecond,
+			CatchUpKnown:     true,
 			PrimaryConfirmed: true,
 			Remaining:        time.Second,
 		}
@@ -134,9 +136,15 @@
 	Entry("guards against a longer log of an older term", "near", covered,
 		func(in *routing.ServeInput) {
 			in.View.Members[1].Last = logpos.Position{Term: 1, Index: 99}
-			in.View.Members[1].AgeKnown = false
+			in.CatchUpKnown = false
 		},
 		routing.RefuseRead{Reason: refusal.ReplicaBehind}),
+	Entry("waits whatever the age of the data", "near", covered,
+		func(in *routing.ServeInput) { in.View.Members[1].Last.Index = 7; in.View.Members[1].Age = time.Minute },
+		routing.WaitFor{Position: covered.Required, Limit: 40 * time.Millisecond}),
+	Entry("refuses when catching up takes longer than the trip", "near", covered,
+		func(in *routing.ServeInput) { in.View.Members[1].Last.Index = 7; in.CatchUp = 41 * time.Millisecond },
+		routing.RefuseRead{Reason: refusal.ReplicaBehind}),
 	Entry("refuses data of unknown age", "near", aged, func(in *routing.ServeInput) { in.View.Members[1].AgeKnown = false }, routing.RefuseRead{Reason: refusal.ReplicaBehind}),
 	Entry("requires both conditions", "near", both, func(*routing.ServeInput) {}, routing.RefuseRead{Reason: refusal.ReplicaBehind}),
 	Entry("guards against a replaced primary", "p", routing.Freshness{}, func(in *routing.ServeInput) { in.PrimaryConfirmed = false }, routing.RefuseRead{Reason: refusal.NotPrimary}),
--- a/decision/routing/serve.go
+++ b/decision/routing/serve.go
@@ -39,6 +39,10 @@
 	// PrimaryConfirmed tells that another member confirmed the primary's term
 	// within the detection time.
 	PrimaryConfirmed bool
+	// CatchUp is the expected time until the endpoint reaches Required, if
+	// CatchUpKnown.
+	CatchUp      time.Duration
+	CatchUpKnown bool
 	// Remaining time until the deadline.
 	Remaining time.Duration
 }
@@ -64,7 +68,7 @@
 	if !in.HasRequired || member.Last.Covers(in.Required) {
 		return ServeNow{}
 	}
-	return waitOrRefuse(in, member)
+	return waitOrRefuse(in)
 }
 
 // serveAtPrimary refuses when the endpoint may have been replaced: no other member
@@ -79,11 +83,12 @@
 	return ServeNow{}
 }
 
-// waitOrRefuse takes the age of the replica's data as the time that it needs to
-// catch up, since a position that exists now reaches it about that much later.
-func waitOrRefuse(in ServeInput, member MemberView) Serving {
+// waitOrRefuse waits if catching up is expected to be shorter than the trip to
+// the primary. The age of the replica's data is no estimate of it: the age grows
+// between the samples and while the primary stands still.
+func waitOrRefuse(in ServeInput) Serving {
 	trip := tripToPrimary(in)
-	if !member.AgeKnown || member.Age > trip || member.Age >= in.Remaining {
+	if !in.CatchUpKnown || in.CatchUp > trip || in.CatchUp >= in.Remaining {
 		return RefuseRead{Reason: refusal.ReplicaBehind}
 	}
 	return WaitFor{
--- a/loadtool/bench/bench.go
+++ b/loadtool/bench/bench.go
@@ -51,6 +51,7 @@
 	report.Results = append(report.Results, limited(config)...)
 	report.Results = append(report.Results, retried(config)...)
 	report.Results = append(report.Results, homes(config)...)
+	report.Results = append(report.Results, replicaReads(config)...)
 	return report
 }
 
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -95,6 +95,10 @@
 	return o.view, true
 }
 
+func (o *observer) ExpectedCatchUp(string, logpos.Position) (time.Duration, bool) {
+	return 0, false
+}
+
 func (o *observer) WaitApplied(context.Context, string, logpos.Position) error { return nil }
 
 func (o *observer) WaitDurable(context.Context, string, logpos.Position) error {
--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -48,6 +48,9 @@
 // Observer knows the members of the databases.
 type Observer interface {
 	Durable(database string) (logpos.Position, bool)
+	// ExpectedCatchUp estimates the time until an endpoint reaches a position; it
+	// returns false without an estimate.
+	ExpectedCatchUp(endpoint string, required logpos.Position) (time.Duration, bool)
 	PrimaryConfirmed(database string) bool
 	View(database string) (routing.DatabaseView, bool)
 	WaitApplied(ctx context.Context, endpoint string, required logpos.Position) error
--- a/proxy/endpoint/read.go
+++ b/proxy/endpoint/read.go
@@ -77,12 +77,16 @@
 
 func (h *Home) serveInput(s *step) routing.ServeInput {
 	view, _ := h.config.Observer.View(s.GetDatabase())
+	required := peer.DecodePosition(s.GetRequired())
+	catchUp, known := h.config.Observer.ExpectedCatchUp(s.GetEndpoint(), required)
 	return routing.ServeInput{
-		View:    view,
-		Site:    s.site(s.GetEndpoint()),
-		Primary: s.site(view.Primary),
+		View:         view,
+		Site:         s.site(s.GetEndpoint()),
+		Primary:      s.site(view.Primary),
+		CatchUp:      catchUp,
+		CatchUpKnown: known,
 		Freshness: routing.Freshness{
-			Required:    peer.DecodePosition(s.GetRequired()),
+			Required:    required,
 			HasRequired: s.GetRequired() != nil,
 			MaxAge:      s.GetMaxAge().AsDuration(),
 			HasMaxAge:   s.GetMaxAge() != nil,
