Let a subject that took more than its share yield

Cause: the start tags jump forward with each statement that finds the queue empty, so below saturation they don't tell a flooding subject from one within its share. Change: a second clock follows what each subject is due when all recent ones share the slots. The lead is bounded, so that it ends soon after the flood. No slot stays free while an item waits.

--- a/decision/scheduling/flow.go
+++ b/decision/scheduling/flow.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -16,6 +17,24 @@
 	steps      []queued
 	statements []queued
 	running    int
+	// long is the service taken, in seconds divided by weight, on the scale of
+	// the queue's fair clock. over marks a subject that is far ahead of it.
+	long float64
+	over bool
+	last time.Time
+}
+
+// before tells whether a waiting flow is served before another: those within
+// their share first, then by start tags, then by arrival.
+func (f *flow) before(other *flow) bool {
+	switch {
+	case f.over != other.over:
+		return other.over
+	case f.start != other.start:
+		return f.start < other.start
+	default:
+		return f.oldest() < other.oldest()
+	}
 }
 
 func (f *flow) idle() bool {
@@ -29,6 +48,17 @@
 	return &f.statements
 }
 
+// oldest returns the rank by arrival of the oldest item that waits.
+func (f *flow) oldest() uint64 {
+	oldest := uint64(math.MaxUint64)
+	for _, list := range [][]queued{f.steps, f.statements} {
+		if len(list) > 0 {
+			oldest = min(oldest, list[0].sequence)
+		}
+	}
+	return oldest
+}
+
 func (f *flow) pop(steps bool) Item {
 	list := f.list(steps)
 	item := (*list)[0].item
--- a/decision/scheduling/policy.go
+++ b/decision/scheduling/policy.go
@@ -16,8 +16,12 @@
 
 // WeightedFair shares the service time among the subjects by worth, with a floor
 // for the worst-served, and gives precedence to steps of open transactions. It
-// is start-time fair queueing, charged with the measured service times.
-type WeightedFair struct{}
+// is start-time fair queueing, charged with the measured service times. A subject
+// that took clearly more than its share lately yields to those that did not.
+type WeightedFair struct {
+	// Plain turns the yielding off. It is a baseline of the benchmark.
+	Plain bool
+}
 
 func (FirstInFirstOut) policy() {}
 func (RoundRobin) policy()      {}
@@ -45,7 +49,7 @@
 		if f.waiting() == 0 {
 			continue
 		}
-		if ordinary == nil || f.start < ordinary.start {
+		if ordinary == nil || f.before(ordinary) {
 			ordinary = f
 		}
 		if len(f.steps) == 0 || (f.start-first)*weights.of(f) > q.transactionLead() {
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -72,6 +72,10 @@
 	cursor    int
 	// virtual is the largest of the smallest start tags seen.
 	virtual float64
+	// fair is the service that a subject of weight 1 is due since the start, in
+	// seconds, as of fairAt.
+	fair   float64
+	fairAt time.Time
 }
 
 // run is an item that holds a slot.
@@ -105,6 +109,8 @@
 func (q *Queue) Arrive(now time.Time, item Item) Decision {
 	f := q.flow(item.Subject)
 	f.worth = float64(max(item.Worth, 1))
+	f.last = now
+	q.advance(now)
 	if !q.config.AdmitAll {
 		if refused, ok := q.refuse(now, f, item); ok {
 			return refused
@@ -144,6 +150,7 @@
 	r.flow.running--
 	// The flow was charged with the expected time; the rest is settled now.
 	r.flow.start += (service - r.cost).Seconds() / r.weight
+	r.flow.long += (service - r.cost).Seconds() / r.weight
 	r.flow.average.add(service)
 	q.average.add(service)
 }
@@ -157,6 +164,7 @@
 	if len(q.running) >= q.config.Slots {
 		return Idle{}
 	}
+	q.advance(now)
 	f, steps := q.pick()
 	if f == nil {
 		return Idle{}
@@ -171,6 +179,7 @@
 		weight:  q.weights().of(f),
 	}
 	f.start += r.cost.Seconds() / r.weight
+	f.long = max(f.long, q.fair) + r.cost.Seconds()/r.weight
 	f.running++
 	q.running[item.ID] = r
 	return Run{Item: item}
@@ -224,7 +233,7 @@
 	}
 	if len(q.flows) >= maxFlows {
 		q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
-			forget := f.idle() && f.start <= q.virtual
+			forget := f.idle() && f.start <= q.virtual && f.long <= q.fair
 			if forget {
 				delete(q.bySubject, f.subject)
 			}
--- a/decision/scheduling/queue_test.go
+++ b/decision/scheduling/queue_test.go
@@ -143,6 +143,24 @@
 		Expect(f.ExpectedWait(f.now, "c")).To(BeNumerically("<", 20*time.Millisecond))
 	})
 
+	DescribeTable("lets a subject that took more than its share yield",
+		// Guards against a flood that delays subjects within their share, and
+		// against a flood that is held back for long after its end.
+		func(pause time.Duration, want int) {
+			f := newFixture(scheduling.Config{Slots: 1})
+			f.arrive("b", 1, time.Hour, false)
+			f.flood("a", 300)
+			f.serve(301)
+			f.now = f.now.Add(pause)
+			f.flood("a", 20)
+			f.flood("b", 20)
+			served, _ := f.serve(20)
+			Expect(served["b"]).To(BeNumerically("~", want, 1))
+		},
+		Entry("during the flood", time.Duration(0), 20),
+		Entry("after the flood", 10*time.Second, 10),
+	)
+
 	It("drops items that can no longer finish, and lets callers remove them", func() {
 		f := newFixture(scheduling.Config{Slots: 1})
 		f.flood("a", 1)
--- a/decision/scheduling/wait.go
+++ b/decision/scheduling/wait.go
@@ -55,6 +55,15 @@
 			seconds += q.cost(f) * float64(f.waiting())
 			continue
 		}
+		if f.over != other.over {
+			// Those within their share go first, but for steps.
+			before := len(other.steps)
+			if f.over {
+				before = other.waiting()
+			}
+			seconds += q.cost(other) * float64(before)
+			continue
+		}
 		before := math.Floor((tag-other.start)*weights.of(other)/q.cost(other)) + 1
 		before = max(before, float64(len(other.steps)))
 		seconds += q.cost(other) * min(max(before, 0), float64(other.waiting()))
--- a/loadtool/bench/bench.go
+++ b/loadtool/bench/bench.go
@@ -47,6 +47,7 @@
 	}
 	report := Report{Seed: config.Seed}
 	report.Results = append(report.Results, flood(config)...)
+	report.Results = append(report.Results, crowded(config)...)
 	report.Results = append(report.Results, overload(config)...)
 	report.Results = append(report.Results, limited(config)...)
 	report.Results = append(report.Results, retried(config)...)
--- a/loadtool/bench/queueing.go
+++ b/loadtool/bench/queueing.go
@@ -154,74 +154,16 @@
 	return []policy{
 		{name: "firstInFirstOut", config: scheduling.Config{Policy: scheduling.FirstInFirstOut{}, MaxWait: maxWait}},
 		{name: "roundRobin", config: scheduling.Config{Policy: scheduling.RoundRobin{}, MaxWait: maxWait}},
+		{name: "weightedFair without yielding", config: scheduling.Config{
+			Policy: scheduling.WeightedFair{Plain: true}, MaxWait: maxWait}},
+		{name: "weightedFair without yielding behind limits", limited: true, config: scheduling.Config{
+			Policy: scheduling.WeightedFair{Plain: true}, MaxWait: maxWait}},
 		{name: "weightedFair", config: scheduling.Config{Policy: scheduling.WeightedFair{}, MaxWait: maxWait}},
 		{name: "weightedFair behind limits", pick: true, limited: true,
 			config: scheduling.Config{Policy: scheduling.WeightedFair{}, MaxWait: maxWait}},
 	}
 }
 
-// flood lets one workspace send five times its rate and compares the others with
-// their runs alone, and with a run in which nobody floods.
-func flood(config Config) []Result {
-	var results []Result
-	for _, p := range policies() {
-		flooded := floodRun(config, p, floodFactor, "")
-		calm := floodRun(config, p, 1, "")
-		worstAlone, worstCalm, worstServed := 0.0, 0.0, 1.0
-		worth, delivered := 0.0, 0.0
-		for i, w := range workspaces() {
-			s := flooded[w.name]
-			rate := w.rate * config.Duration.Seconds()
-			share := min(float64(s.finished)/rate, 1)
-			worth += float64(w.worth) * share
-			delivered += float64(w.worth)
-			if i == 0 {
-				continue
-			}
-			alone := floodRun(config, p, 1, w.name)
-			worstAlone = max(worstAlone, s.latencies.Mean()/alone[w.name].latencies.Mean())
-			worstCalm = max(worstCalm, s.latencies.Mean()/calm[w.name].latencies.Mean())
-			worstServed = min(worstServed, float64(s.finished)/float64(s.sent))
-		}
-		results = append(results, Result{
-			Section:  "scheduling",
-			Scenario: "one workspace at 5x",
-			Choice:   p.name,
-			Pick:     p.pick,
-			Measures: []Measure{
-				measure("latencyVsAlone", worstAlone),
-				measure("latencyVsCalm", worstCalm),
-				measure("worstServed", worstServed),
-				measure("servedByWorth", worth/delivered),
-			},
-		})
-	}
-	return results
-}
-
-// floodRun runs all workspaces, or only the named one.
-func floodRun(config Config, p policy, factor float64, only string) map[string]*stats {
-	e := newEndpoint(config.Seed, p.config)
-	end := e.now.Add(config.Duration)
-	for i, w := range workspaces() {
-		if only != "" && only != w.name {
-			continue
-		}
-		if p.limited {
-			// The limit is a little above the rate that the workspace usually sends.
-			bucket := limits.NewBucket(e.now, w.rate/2, 1.1*w.rate)
-			e.buckets[w.name] = &bucket
-		}
-		times := 1.0
-		if i == 0 {
-			times = factor
-		}
-		e.send(config.Seed, uint64(i), w, times, end)
-	}
-	e.runAll()
-	return e.stats
-}
-
 // overload sends multiples of the capacity and compares the goodput with its peak.
 func overload(config Config) []Result {
 	choices := []policy{
