--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -53,6 +53,9 @@
 	Durable(database string) (logpos.Position, bool)
 	// Outcome tells whether a write is done; a write that is not found is unknown.
 	Outcome(ctx context.Context, database, requestID string) failover.Resolution
+	// ExpectedCatchUp estimates the time until an endpoint reaches a position; it
+	// returns false without an estimate.
+	ExpectedCatchUp(endpoint string, required logpos.Position) (time.Duration, bool)
 	PrimaryConfirmed(database string) bool
 	// Resolve waits until a write that this VM sent in a term, and of which no
 	// other copy is under way, is known to be done or not run.
