--- a/decision/session/sealer.go
+++ b/decision/session/sealer.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -180,7 +181,8 @@
 
 func (s *Sealer) open(purpose, text string, payload any) error {
 	sealed, err := base64.RawURLEncoding.Strict().DecodeString(text)
-	if err != nil || len(sealed) < sha256.Size {
+	// The decoder skips line breaks even in strict mode.
+	if err != nil || len(sealed) < sha256.Size || strings.ContainsAny(text, "\r\n") {
 		return &Error{Cause: Malformed}
 	}
 	sum, body := sealed[:sha256.Size], sealed[sha256.Size:]
