Renew the views in the status, clear up errors of amaranthctl

A test of mutual TLS between amaranthctl and an operator listener: no certificate, one of another authority, a proxy of another authority, plain text, a good one. Ruled out: a peer call for the dump of another VM, because a dump may be large and the peer protocol is for the fleet; an operator address in the membership, which every probe would carry. Conclusion: the status can be read from any VM.

--- a/amaranthctl/commands/address.go
+++ b/amaranthctl/commands/address.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // addressList is a list of addresses as the value of a flag.
@@ -16,7 +18,7 @@
 	for part := range strings.SplitSeq(text, ",") {
 		address, err := netip.ParseAddrPort(strings.TrimSpace(part))
 		if err != nil {
-			return err
+			return eris.Errorf("--proxy needs IP:PORT of an operator listener, has %q", part)
 		}
 		*l = append(*l, address)
 	}
--- a/amaranthctl/commands/app.go
+++ b/amaranthctl/commands/app.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -68,6 +69,7 @@
 	k.ErrorWriter(a.config.Errors)
 	k.Terminate(a.config.Exit)
 	k.HelpFlag.Short('h')
+	k.Version(versionText())
 	k.Flag("proxy", "Operator listeners as IP:PORT, separated by commas; the next is tried on failure.").
 		Envar("AMARANTHCTL_PROXY").SetValue(&a.proxies)
 	k.Flag("ca-file", "Authorities of the proxies' certificates; plain text if absent.").
@@ -94,6 +96,23 @@
 	return k
 }
 
+// versionText names the build: the module's version, and the revision if the
+// program was built from a repository.
+func versionText() string {
+	text := "amaranthctl"
+	build, ok := debug.ReadBuildInfo()
+	if !ok {
+		return text
+	}
+	text += " " + build.Main.Version
+	for _, setting := range build.Settings {
+		if setting.Key == "vcs.revision" {
+			text += " " + setting.Value
+		}
+	}
+	return text
+}
+
 // report writes an error and returns its exit code.
 func (a *app) report(err error) int {
 	if err == nil {
--- a/amaranthctl/commands/apply.go
+++ b/amaranthctl/commands/apply.go
@@ -51,7 +51,7 @@
 	}
 	version, err := strconv.ParseUint(expected, 10, 64)
 	if err != nil {
-		return withCode(exitUsage, eris.Wrap(err, "--expect-version"))
+		return withCode(exitUsage, eris.Errorf("--expect-version needs a version as a whole number, has %q", expected))
 	}
 	if _, accepted := declaration.FindChange(current, id); accepted || version == current.Version {
 		return nil
--- a/amaranthctl/commands/change.go
+++ b/amaranthctl/commands/change.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	if err := declaration.Validate(document); err != nil {
-		return err
+		return eris.Wrap(err, summary)
 	}
 	return a.put(ctx, key, change{
 		id:       uuid.NewString(),
--- a/amaranthctl/commands/commands_test.go
+++ b/amaranthctl/commands/commands_test.go
@@ -99,6 +99,23 @@
 	return &operatorv1.ChangeConfigurationResponse{Version: document.Version}, nil
 }
 
+// GetDump answers as vm-1.
+func (p *fakeProxy) GetDump(_ context.Context, r *operatorv1.GetDumpRequest) (*operatorv1.GetDumpResponse, error) {
+	if r.GetVm() == "" || r.GetVm() == "vm-1" {
+		return &operatorv1.GetDumpResponse{Dump: []byte(`{"vm":"vm-1"}`)}, nil
+	}
+	failure := connect.NewError(connect.CodeInvalidArgument, errors.New("this is vm-1"))
+	detail, err := connect.NewErrorDetail(&callerv1.Refusal{
+		Outcome: callerv1.Outcome_OUTCOME_NOT_RUN,
+		Field:   "vm",
+	})
+	if err != nil {
+		return nil, err
+	}
+	failure.AddDetail(detail)
+	return nil, failure
+}
+
 func (p *fakeProxy) ListVersions(context.Context, *operatorv1.ListVersionsRequest) (*operatorv1.ListVersionsResponse, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,6 +201,11 @@
 		Entry("expected version", func() {}, 3, "version 7 was expected", "apply", declarationFile, "--expect-version", "7"),
 		Entry("VM behind", func() { server.behind = true }, 4, "not yet on: vm-2", "key", "withdraw", "k1", "--wait", "300ms"),
 		Entry("valid file", func() {}, 0, "is valid", "validate", declarationFile),
+		Entry("dump of the VM", func() {}, 0, `{"vm":"vm-1"}`, "dump", "--vm", "vm-1"),
+		Entry("dump of another VM", func() {}, 1, "no --proxy is the operator listener of vm-2", "dump", "--vm", "vm-2"),
+		Entry("name as address", func() {}, 2, `--proxy needs IP:PORT of an operator listener, has "localhost:1"`, "status", "--proxy", "localhost:1"),
+		Entry("expected version that is no number", func() {}, 2, `has "x"`, "apply", declarationFile, "--expect-version", "x"),
+		Entry("edit that names the command", func() {}, 1, "set workspace gamma: workspaces[2]", "workspace", "set", "gamma"),
 		Entry("versions", func() {}, 0, "vm-2  1        true", "versions"),
 	)
 
--- a/amaranthctl/commands/proxies.go
+++ b/amaranthctl/commands/proxies.go
@@ -18,6 +18,8 @@
 	connectTimeout = 2 * time.Second
 	// readAttempt bounds a read at one proxy.
 	readAttempt = 3 * time.Second
+	// vmField of a request names the VM that must answer.
+	vmField = "vm"
 	// changeAttempt is above the 10 s that a proxy takes to resolve a change.
 	changeAttempt = 12 * time.Second
 )
@@ -35,7 +37,7 @@
 		return a.dialed, nil
 	}
 	if len(a.proxies) == 0 {
-		return nil, withCode(exitUsage, eris.New("--proxy is needed"))
+		return nil, withCode(exitUsage, eris.New("--proxy or AMARANTHCTL_PROXY is needed: IP:PORT of an operator listener"))
 	}
 	protocols := &http.Protocols{}
 	transport := &http.Transport{
@@ -77,13 +79,18 @@
 	for _, p := range proxies {
 		var answer T
 		answer, err = attempt(ctx, a, readAttempt, p, call)
-		if err == nil || !tryNext(err) {
+		if err == nil || !tryNext(err) && !isOtherVM(err) {
 			return answer, err
 		}
 	}
 	return none, err
 }
 
+// isOtherVM tells whether a proxy refused because another VM was asked for.
+func isOtherVM(err error) bool {
+	return refusalOf(err).GetField() == vmField
+}
+
 func attempt[T any](ctx context.Context, a *app, limit time.Duration, p proxy, call request[T]) (T, error) {
 	limited, cancel := timer.WithTimeout(ctx, a.config.Timer, limit)
 	defer cancel()
--- a/amaranthctl/commands/status.go
+++ b/amaranthctl/commands/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -32,7 +33,7 @@
 		}.Format(status) + "\n"))
 	}
 	text := fmt.Sprintf("%s: version %d, preset %s, authorized %t, authority age %s\n\n", status.GetVm(),
-		status.GetConfigurationVersion(), status.GetPreset(), status.GetAuthorized(), status.GetAuthorityAge().AsDuration())
+		status.GetConfigurationVersion(), status.GetPreset(), status.GetAuthorized(), roundAge(status.GetAuthorityAge().AsDuration()))
 	if err := a.printText([]byte(text)); err != nil {
 		return err
 	}
@@ -55,10 +56,19 @@
 	return a.print([]string{"DATABASE", "TERM", "ENDPOINT", "ROLE", "REACHABLE", "POSITION", "AGE", "HOME"}, members, nil)
 }
 
+// roundAge keeps what a person reads: milliseconds below 10 s, else tenths of a
+// second.
+func roundAge(age time.Duration) time.Duration {
+	if age < 10*time.Second {
+		return age.Round(time.Millisecond)
+	}
+	return age.Round(100 * time.Millisecond)
+}
+
 func memberRow(database *operatorv1.DatabaseStatus, member *operatorv1.MemberStatus) []string {
 	age := "-"
 	if member.GetAge() != nil {
-		age = member.GetAge().AsDuration().String()
+		age = roundAge(member.GetAge().AsDuration()).String()
 	}
 	return []string{
 		database.GetDatabase(),
--- /dev/null
+++ b/amaranthctl/commands/tls_test.go
@@ -0,0 +1,111 @@
+package commands_test
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/amaranthctl/commands"
+	"amaranthdock.dev/api/amaranthdock/operator/v1/operatorv1connect"
+	"amaranthdock.dev/declaration"
+	"amaranthdock.dev/settings"
+	"amaranthdock.dev/timer"
+)
+
+// newAuthority writes an authority and a certificate for 127.0.0.1 signed by it.
+func newAuthority() *settings.TLSFiles {
+	GinkgoHelper()
+	directory := GinkgoT().TempDir()
+	write := func(name, kind string, der []byte, err error) string {
+		Expect(err).NotTo(HaveOccurred())
+		file := filepath.Join(directory, name)
+		Expect(os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(Succeed())
+		return file
+	}
+	newKey := func() *ecdsa.PrivateKey {
+		key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		Expect(err).NotTo(HaveOccurred())
+		return key
+	}
+	authority := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotAfter:              time.Unix(1<<33, 0),
+		IsCA:                  true,
+		KeyUsage:              x509.KeyUsageCertSign,
+		BasicConstraintsValid: true,
+	}
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		NotAfter:     time.Unix(1<<33, 0),
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	authorityKey, key := newKey(), newKey()
+	authorityDER, err := x509.CreateCertificate(rand.Reader, authority, authority, authorityKey.Public(), authorityKey)
+	ca := write("ca.pem", "CERTIFICATE", authorityDER, err)
+	leafDER, err := x509.CreateCertificate(rand.Reader, leaf, authority, key.Public(), authorityKey)
+	certificate := write("certificate.pem", "CERTIFICATE", leafDER, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	return &settings.TLSFiles{
+		CAFile:          ca,
+		CertificateFile: certificate,
+		KeyFile:         write("key.pem", "PRIVATE KEY", keyDER, err),
+	}
+}
+
+// The table guards against an operator listener that answers someone without a
+// certificate of its authority, and against operators who talk to a false proxy.
+var _ = Describe("Mutual TLS", func() {
+	DescribeTable("between amaranthctl and the operator listener",
+		func(arguments func(own, other *settings.TLSFiles) []string, code int, message string) {
+			own, other := newAuthority(), newAuthority()
+			mux := http.NewServeMux()
+			mux.Handle(operatorv1connect.NewOperatorServiceHandler(&fakeProxy{document: &declaration.Document{Version: 1}}))
+			listener := httptest.NewUnstartedServer(mux)
+			config, err := own.Server()
+			Expect(err).NotTo(HaveOccurred())
+			listener.TLS = config
+			listener.EnableHTTP2 = true
+			listener.StartTLS()
+			DeferCleanup(listener.Close)
+			var output, failure bytes.Buffer
+			address := strings.TrimPrefix(listener.URL, "https://")
+			got := commands.Run(commands.Config{
+				Arguments: append([]string{"--proxy", address, "versions"}, arguments(own, other)...),
+				Output:    &output,
+				Errors:    &failure,
+				Timer:     timer.NewSystem(),
+				Exit:      func(int) {},
+			})
+			Expect(got).To(Equal(code), failure.String())
+			Expect(output.String() + failure.String()).To(ContainSubstring(message))
+		},
+		Entry("good certificate", func(own, _ *settings.TLSFiles) []string {
+			return []string{"--ca-file", own.CAFile, "--certificate-file", own.CertificateFile, "--key-file", own.KeyFile}
+		}, 0, "vm-1"),
+		Entry("no certificate", func(own, _ *settings.TLSFiles) []string {
+			return []string{"--ca-file", own.CAFile}
+		}, 1, "certificate required"),
+		Entry("certificate of another authority", func(own, other *settings.TLSFiles) []string {
+			return []string{"--ca-file", own.CAFile, "--certificate-file", other.CertificateFile, "--key-file", other.KeyFile}
+		}, 1, "certificate"),
+		Entry("proxy of another authority", func(own, other *settings.TLSFiles) []string {
+			return []string{"--ca-file", other.CAFile, "--certificate-file", own.CertificateFile, "--key-file", own.KeyFile}
+		}, 1, "certificate signed by unknown authority"),
+		Entry("plain text", func(_, _ *settings.TLSFiles) []string { return nil }, 1, "unavailable"),
+	)
+})
--- a/proxy/operator/operator.go
+++ b/proxy/operator/operator.go
@@ -54,6 +54,8 @@
 
 // Observer knows the members of the databases.
 type Observer interface {
+	// FetchView asks a VM that watches the database if this one does not.
+	FetchView(ctx context.Context, database string) (routing.DatabaseView, error)
 	View(database string) (routing.DatabaseView, bool)
 }
 
--- a/proxy/operator/operator_test.go
+++ b/proxy/operator/operator_test.go
@@ -88,6 +88,8 @@
 // fakeFleet is the directory, the configuration, the observer and the dumps.
 type fakeFleet struct {
 	snapshot *declaration.Snapshot
+	// unwatched makes no VM give a new view.
+	unwatched bool
 }
 
 func (f *fakeFleet) Address(vm string) (netip.AddrPort, bool) {
@@ -99,6 +101,13 @@
 func (f *fakeFleet) Incarnation(string) (uint64, bool) { return 7, true }
 func (f *fakeFleet) JSON() ([]byte, error)             { return []byte(`{"vm":"vm-1"}`), nil }
 func (f *fakeFleet) Self() routing.VM                  { return f.Live()[0] }
+func (f *fakeFleet) FetchView(_ context.Context, database string) (v routing.DatabaseView, err error) {
+	if f.unwatched {
+		return v, errLost
+	}
+	v.Term = 4
+	return v, nil
+}
 func (f *fakeFleet) View(string) (v routing.DatabaseView, ok bool) {
 	v.Term = 3
 	v.Primary = "main-1"
@@ -312,6 +321,11 @@
 		Expect(status.GetPreset()).To(Equal("ordinary"))
 		Expect(status.GetDatabases()[0].GetMembers()).To(HaveLen(3))
 		Expect(status.GetDatabases()[0].GetMembers()[0].GetHome()).To(Equal("vm-1"))
+		Expect(status.GetDatabases()[0].GetTerm()).To(BeEquivalentTo(4), "an old view instead of a new one")
+		fleet.unwatched = true
+		status, err = handler.GetStatus(context.Background(), &operatorv1.GetStatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.GetDatabases()[0].GetTerm()).To(BeEquivalentTo(3), "no view instead of an old one")
 		dump, err := handler.GetDump(context.Background(), &operatorv1.GetDumpRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(dump.GetDump()).To(MatchJSON(`{"vm":"vm-1"}`))
--- a/proxy/operator/status.go
+++ b/proxy/operator/status.go
@@ -21,10 +21,14 @@
 	// maxVersionCalls bounds the calls to peers at one time.
 	maxVersionCalls = 64
 	stateLive       = "live"
+	// viewsTimeout bounds the questions for the views of all databases.
+	viewsTimeout = 2 * time.Second
 )
 
-// GetStatus returns this VM's view of the fleet and the databases.
-func (o *Operator) GetStatus(context.Context, *operatorv1.GetStatusRequest) (*operatorv1.GetStatusResponse, error) {
+// GetStatus returns this VM's view of the fleet and the databases. A VM that
+// watches a database is asked for its view if this one does not; the ages of a
+// view that could not be renewed grow.
+func (o *Operator) GetStatus(ctx context.Context, _ *operatorv1.GetStatusRequest) (*operatorv1.GetStatusResponse, error) {
 	live := o.config.Directory.Live()
 	response := &operatorv1.GetStatusResponse{
 		Vm:                   o.config.Directory.Self().Name,
@@ -46,12 +50,38 @@
 		return response, nil
 	}
 	response.Preset = current.Preset().Name
-	for _, database := range current.Databases() {
-		response.Databases = append(response.Databases, o.databaseStatus(current, database, live))
+	views := o.views(ctx, current)
+	for i, database := range current.Databases() {
+		response.Databases = append(response.Databases, databaseStatus(current, database, views[i], live))
 	}
 	return response, nil
 }
 
+// views returns the view of each database. The calls share one bound, which is
+// below the time that amaranthctl waits for a status.
+func (o *Operator) views(ctx context.Context, current *declaration.Snapshot) []routing.DatabaseView {
+	limited, cancel := timer.WithTimeout(ctx, o.config.Timer, viewsTimeout)
+	defer cancel()
+	databases := current.Databases()
+	views := make([]routing.DatabaseView, len(databases))
+	var group errgroup.Group
+	group.SetLimit(maxVersionCalls)
+	for i, database := range databases {
+		group.Go(func() error {
+			view, err := o.config.Observer.FetchView(limited, database.Name)
+			if err != nil {
+				o.logger.Info("No VM gave its view of a database.", "database", database.Name, "error", err.Error())
+				view, _ = o.config.Observer.View(database.Name)
+			}
+			views[i] = view
+			return nil
+		})
+	}
+	// The functions of the group return no error.
+	_ = group.Wait()
+	return views
+}
+
 // ListVersions asks all live VMs at once.
 func (o *Operator) ListVersions(ctx context.Context, _ *operatorv1.ListVersionsRequest) (*operatorv1.ListVersionsResponse, error) {
 	live := o.config.Directory.Live()
@@ -67,8 +97,7 @@
 	return response, group.Wait()
 }
 
-func (o *Operator) databaseStatus(current *declaration.Snapshot, database *declaration.Database, live []routing.VM) *operatorv1.DatabaseStatus {
-	view, _ := o.config.Observer.View(database.Name)
+func databaseStatus(current *declaration.Snapshot, database *declaration.Database, view routing.DatabaseView, live []routing.VM) *operatorv1.DatabaseStatus {
 	status := &operatorv1.DatabaseStatus{
 		Database: database.Name,
 		Term:     view.Term,
