--- a/amaranthctl/commands/app.go
+++ b/amaranthctl/commands/app.go
@@ -7,10 +7,12 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
 
 	"amaranthdock.dev/settings"
 	"amaranthdock.dev/timer"
@@ -58,7 +60,11 @@
 	defer stop()
 	limited, cancel := timer.WithTimeout(ctx, config.Timer, a.timeout)
 	defer cancel()
-	return a.report(a.selected(limited))
+	err := a.selected(limited)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		err = withCode(codeOf(err), eris.Wrapf(err, "the --timeout of %s has passed", a.timeout))
+	}
+	return a.report(err)
 }
 
 // define adds the global flags and all commands.
@@ -68,6 +74,7 @@
 	k.ErrorWriter(a.config.Errors)
 	k.Terminate(a.config.Exit)
 	k.HelpFlag.Short('h')
+	k.Version(versionText())
 	k.Flag("proxy", "Operator listeners as IP:PORT, separated by commas; the next is tried on failure.").
 		Envar("AMARANTHCTL_PROXY").SetValue(&a.proxies)
 	k.Flag("ca-file", "Authorities of the proxies' certificates; plain text if absent.").
@@ -94,6 +101,23 @@
 	return k
 }
 
+// versionText names the build: the module's version, and the revision if the
+// program was built from a repository.
+func versionText() string {
+	text := "amaranthctl"
+	build, ok := debug.ReadBuildInfo()
+	if !ok {
+		return text
+	}
+	text += " " + build.Main.Version
+	for _, setting := range build.Settings {
+		if setting.Key == "vcs.revision" {
+			text += " " + setting.Value
+		}
+	}
+	return text
+}
+
 // report writes an error and returns its exit code.
 func (a *app) report(err error) int {
 	if err == nil {
--- a/amaranthctl/commands/change.go
+++ b/amaranthctl/commands/change.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	if err := declaration.Validate(document); err != nil {
-		return err
+		return eris.Wrap(err, summary)
 	}
 	return a.put(ctx, key, change{
 		id:       uuid.NewString(),
@@ -155,7 +155,7 @@
 		}
 	}
 	if uncertain {
-		return 0, withCode(exitUnknown, eris.Wrapf(last, "the outcome of change %s is unknown", c.id))
+		return 0, withCode(exitUnknown, eris.Wrapf(last, "the outcome of change %s is unknown; if it is among the changes of show --output json, it is in force", c.id))
 	}
 	return 0, last
 }
