Test that no one sees a key and that requests keep their workspace

Change: relay.Config takes a tap that sees every forwarded byte, and the harness can leave the peers' TLS out.

--- /dev/null
+++ b/loadtool/faults/suite_test.go
@@ -0,0 +1,13 @@
+package faults_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFaults(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "faults")
+}
--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -31,7 +31,12 @@
 	// Subnet is the second number of the loopback addresses, 1 to 254, so that
 	// deployments can run side by side.
 	Subnet byte
-	Timer  timer.Service
+	// PlainPeers leaves the TLS of the peer protocol out of the settings, so that
+	// a tap can read it.
+	PlainPeers bool
+	// Tap, if not nil, returns the tap of the relay before a host.
+	Tap   func(host string) relay.Tap
+	Timer timer.Service
 }
 
 // Deployment is a running platform, its members and its VMs.
@@ -233,8 +238,13 @@
 		address: address,
 	}
 	d.Network.add(h)
+	var tap relay.Tap
+	if d.config.Tap != nil {
+		tap = d.config.Tap(name)
+	}
 	r, err := relay.New(relay.Config{
 		Listen: advertise,
+		Tap:    tap,
 		Target: listen,
 		Rules:  d.Network.rules(h),
 		Timer:  d.config.Timer,
--- a/loadtool/harness/vm.go
+++ b/loadtool/harness/vm.go
@@ -117,7 +117,11 @@
 			text += fmt.Sprintf("  - %q\n", other.peer.advertise.String())
 		}
 	}
-	for _, section := range []string{"peerTls", "operatorTls"} {
+	sections := []string{"operatorTls"}
+	if !d.config.PlainPeers {
+		sections = append(sections, "peerTls")
+	}
+	for _, section := range sections {
 		text += joinLines(
 			section+":",
 			"  "+quoted("certificateFile", d.certificates.CertificateFile),
--- a/loadtool/relay/relay.go
+++ b/loadtool/relay/relay.go
@@ -39,9 +39,16 @@
 // Rules returns the rule in force for a source.
 type Rules func(source netip.Addr) Rule
 
+// Tap returns what receives the bytes of one direction of one connection, in
+// order; forward is the direction towards the target. The receiver must not keep
+// the slice.
+type Tap func(source netip.Addr, forward bool) func(data []byte)
+
 // Config configures a Relay.
 type Config struct {
 	Listen netip.AddrPort
+	// Tap, if not nil, sees every byte that is forwarded.
+	Tap    Tap
 	Target netip.AddrPort
 	Rules  Rules
 	Timer  timer.Service
@@ -123,7 +130,7 @@
 	go func() {
 		defer directions.Done()
 		defer target.Close()
-		r.pump(ctx, source, target, func() (Rule, bool) {
+		r.pump(ctx, source, target, r.tap(address, true), func() (Rule, bool) {
 			rule := r.config.Rules(address)
 			return rule, rule.CutForward
 		})
@@ -131,7 +138,7 @@
 	go func() {
 		defer directions.Done()
 		defer source.Close()
-		r.pump(ctx, target, source, func() (Rule, bool) {
+		r.pump(ctx, target, source, r.tap(address, false), func() (Rule, bool) {
 			rule := r.config.Rules(address)
 			return rule, rule.CutBackward
 		})
@@ -139,6 +146,14 @@
 	directions.Wait()
 }
 
+// tap returns the receiver of one direction of a connection.
+func (r *Relay) tap(source netip.Addr, forward bool) func(data []byte) {
+	if r.config.Tap == nil {
+		return func([]byte) {}
+	}
+	return r.config.Tap(source, forward)
+}
+
 func (r *Relay) forget(c net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -162,7 +177,7 @@
 }
 
 // pump copies one direction under the rule in force.
-func (r *Relay) pump(ctx context.Context, from, to net.Conn, rule func() (Rule, bool)) {
+func (r *Relay) pump(ctx context.Context, from, to net.Conn, tap func(data []byte), rule func() (Rule, bool)) {
 	chunks := make(chan chunk, pipeDepth)
 	go func() {
 		defer close(chunks)
@@ -190,6 +205,7 @@
 		if !r.release(ctx, c, rule) {
 			return
 		}
+		tap(c.data)
 		if _, err := to.Write(c.data); err != nil {
 			return
 		}
--- a/proxy/gossip/dump.go
+++ b/proxy/gossip/dump.go
@@ -7,16 +7,18 @@
 
 // Dump is the state of the part for the state dump.
 type Dump struct {
-	VM                   string       `json:"vm"`
-	Ready                bool         `json:"ready"`
-	Leaving              bool         `json:"leaving"`
-	Watching             bool         `json:"watching"`
-	Authorized           bool         `json:"authorized"`
-	AuthorityAge         string       `json:"authorityAge"`
-	ConfigurationVersion uint64       `json:"configurationVersion"`
-	HighestVersionHeard  uint64       `json:"highestVersionHeard"`
-	StoreRevision        uint64       `json:"storeRevision"`
-	Members              []MemberDump `json:"members"`
+	VM                   string `json:"vm"`
+	Ready                bool   `json:"ready"`
+	Leaving              bool   `json:"leaving"`
+	Watching             bool   `json:"watching"`
+	Authorized           bool   `json:"authorized"`
+	AuthorityAge         string `json:"authorityAge"`
+	ConfigurationVersion uint64 `json:"configurationVersion"`
+	HighestVersionHeard  uint64 `json:"highestVersionHeard"`
+	// PresetInForce is the one of ConfigurationVersion.
+	PresetInForce string       `json:"presetInForce,omitempty"`
+	StoreRevision uint64       `json:"storeRevision"`
+	Members       []MemberDump `json:"members"`
 }
 
 // MemberDump is one member of the fleet.
@@ -46,6 +48,10 @@
 		HighestVersionHeard:  p.versions.HighestHeard(),
 		StoreRevision:        p.stored.revision,
 	}
+	if snapshot := p.current.Load(); snapshot != nil {
+		dump.ConfigurationVersion = snapshot.Version()
+		dump.PresetInForce = snapshot.Preset().Name
+	}
 	if age, ok := p.versions.Age(now); ok {
 		dump.AuthorityAge = age.String()
 	}
