--- a/Makefile
+++ b/Makefile
@@ -45,8 +45,8 @@
 # The process-level failure tests run alone, because the searches of the other
 # tests would take the processors from the processes under test.
 test:
-	go test -timeout 5m $$(go list $(PACKAGES) | grep -v /loadtool/faults)
-	go test -timeout 8m ./loadtool/faults
+	go test -timeout 5m $$(go list $(PACKAGES) | grep -v /loadtool/faults/)
+	go test -timeout 9m -p 1 ./loadtool/faults/...
 
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOFLAGS=-mod=mod GOWORK=off go mod tidy) || exit 1; done
--- a/loadtool/faults/data_fixture_test.go
+++ b/loadtool/faults/data/fixture_test.go
@@ -1,4 +1,4 @@
-package faults_test
+package data_test
 
 import (
 	"context"
--- a/loadtool/faults/data_suite_test.go
+++ b/loadtool/faults/data/suite_test.go
@@ -1,4 +1,4 @@
-package faults_test
+package data_test
 
 import (
 	"os"
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestFaults(t *testing.T) {
+func TestData(t *testing.T) {
 	directory, err := os.MkdirTemp("", "amaranthdock-faults-bin-")
 	if err != nil {
 		t.Fatal(err)
@@ -34,7 +34,7 @@
 	}
 	for _, arguments := range builds {
 		command := exec.Command("go", arguments...)
-		command.Dir = filepath.Join("..", "..")
+		command.Dir = filepath.Join("..", "..", "..")
 		command.Stdout = GinkgoWriter
 		command.Stderr = GinkgoWriter
 		if err := command.Run(); err != nil {
--- a/proxy/failover/attend.go
+++ b/proxy/failover/attend.go
@@ -13,11 +13,7 @@
 // Attend watches a database that has no endpoint homed here, because this VM
 // stands in for a home that was lost but is not yet known to be.
 func (p *Part) Attend(database string) {
-	p.mu.Lock()
-	_, known := p.attended[database]
-	p.attended[database] = p.config.Timer.Now().Add(attendTime)
-	p.mu.Unlock()
-	if known {
+	if p.extend(database, attendTime) {
 		return
 	}
 	select {
@@ -27,6 +23,18 @@
 	}
 }
 
+// extend attends a database at least for the duration, and tells whether it was
+// attended already.
+func (p *Part) extend(database string, duration time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before, attended := p.attended[database]
+	if until := p.config.Timer.Now().Add(duration); until.After(before) {
+		p.attended[database] = until
+	}
+	return attended
+}
+
 // takeAttended forgets what has expired and returns the rest, sorted.
 func (p *Part) takeAttended() []string {
 	p.mu.Lock()
--- a/proxy/failover/database.go
+++ b/proxy/failover/database.go
@@ -39,6 +39,8 @@
 	part   *Part
 	name   string
 	cancel context.CancelFunc
+	// homed tells that this VM is the home of a member; only for reconcile.
+	homed bool
 
 	mu        sync.Mutex
 	monitor   *promotion.Monitor
