Let writes wait for the next primary instead of refusing them as stalled

Cause: a home takes a primary without a recent status for stalled replication, and so does a second-ranked home that does not watch the database.

Change: the home refuses with noPrimary if the primary does not answer, and with notHome if it knows no durable entry of the primary's term; the entry retries both until the deadline. replicationStalled stays for a primary that answers while no replica confirms.

The failover cases in which no VM reaches the primary now fail on any write that is refused as not run. Two table entries of the home cover the decisions.

Ruled out: a stall at the replicas; traces of the refusals showed a view with a reachable primary, and the monitor of that VM was never asked.

--- a/loadtool/faults/data_failover_test.go
+++ b/loadtool/faults/data_failover_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"amaranthdock.dev/client"
 	"amaranthdock.dev/loadtool/harness"
 )
 
@@ -63,8 +64,9 @@
 
 	// Guards against a write that only the replaced primary holds (G2), a refusal
 	// as not run of a write that ran (G9), a write that ran twice (G10), a stale
-	// read (G1), and a write gap above the target.
-	DescribeTable("under write load from several sessions", func(ctx SpecContext, fault memberFault, store string) {
+	// read (G1), a write gap above the target, and, if no VM reaches the primary,
+	// writes that are refused instead of waiting for the next one.
+	DescribeTable("under write load from several sessions", func(ctx SpecContext, fault memberFault, store string, waits bool) {
 		d.setStore(ctx, store)
 		l := d.startLoad(ctx)
 		d.sleep(ctx, warmUp)
@@ -82,18 +84,23 @@
 		d.reportGap(l)
 		GinkgoWriter.Printf("so far %d acknowledged, %d not run, %d unknown\n", verdict.Acknowledged, verdict.NotRun, verdict.Unknown)
 		Expect(l.gap()).To(BeNumerically("<", gapBound))
+		if waits {
+			for reason := range l.reasons() {
+				Expect(reason).To(HavePrefix(client.Unknown.String()), "writes that were refused")
+			}
+		}
 	},
-		Entry("killed, store up", killMember, storeUp),
-		Entry("killed, store out", killMember, storeOut),
-		Entry("paused, store up", pauseMember, storeUp),
-		Entry("paused, store out", pauseMember, storeOut),
-		Entry("cut off from everything, store up", isolateMember, storeUp),
-		Entry("cut off from everything, store out", isolateMember, storeOut),
-		Entry("cut off towards the members, store up", cutToMembers, storeUp),
-		Entry("cut off towards the members, store out", cutToMembers, storeOut),
-		Entry("cut off from the members, store up", cutFromMembers, storeUp),
-		Entry("cut off from the members, store out", cutFromMembers, storeOut),
-		Entry("cut off from the members both ways, store up", cutBothWays, storeUp),
-		Entry("cut off from the members both ways, store out", cutBothWays, storeOut),
+		Entry("killed, store up", killMember, storeUp, true),
+		Entry("killed, store out", killMember, storeOut, true),
+		Entry("paused, store up", pauseMember, storeUp, true),
+		Entry("paused, store out", pauseMember, storeOut, true),
+		Entry("cut off from everything, store up", isolateMember, storeUp, true),
+		Entry("cut off from everything, store out", isolateMember, storeOut, true),
+		Entry("cut off towards the members, store up", cutToMembers, storeUp, false),
+		Entry("cut off towards the members, store out", cutToMembers, storeOut, false),
+		Entry("cut off from the members, store up", cutFromMembers, storeUp, false),
+		Entry("cut off from the members, store out", cutFromMembers, storeOut, false),
+		Entry("cut off from the members both ways, store up", cutBothWays, storeUp, false),
+		Entry("cut off from the members both ways, store out", cutBothWays, storeOut, false),
 	)
 })
--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -110,16 +110,29 @@
 		return 0, refusal.NewNotRun(refusal.EndpointLeaving, "the endpoint is leaving")
 	}
 	if !h.config.Observer.WritesHealthy(s.GetDatabase()) {
-		return 0, &refusal.Error{
-			Outcome:    refusal.NotRun,
-			Reason:     refusal.ReplicationStalled,
-			Message:    "no replica confirms writes",
-			RetryAfter: stalledRetryAfter,
-		}
+		return 0, h.refuseUnhealthy(s, view)
 	}
 	return view.Term, nil
 }
 
+// refuseUnhealthy says why a write cannot be expected to become durable. Unless it
+// is the replication, the entry lets the write wait for another view.
+func (h *Home) refuseUnhealthy(s *step, view routing.DatabaseView) error {
+	if primary, ok := view.Member(view.Primary); ok && !primary.Reachable {
+		return refusal.NewNotRun(refusal.NoPrimary, "the primary does not answer")
+	}
+	// The second-ranked home may not watch the database.
+	if _, ok := h.config.Observer.Durable(s.GetDatabase()); !ok {
+		return refusal.NewNotRun(refusal.NotHome, "no durable entry of the primary's term is known here")
+	}
+	return &refusal.Error{
+		Outcome:    refusal.NotRun,
+		Reason:     refusal.ReplicationStalled,
+		Message:    "no replica confirms writes",
+		RetryAfter: stalledRetryAfter,
+	}
+}
+
 func (h *Home) waitDurable(ctx context.Context, s *step, position logpos.Position) error {
 	if err := h.config.Observer.WaitDurable(ctx, s.GetDatabase(), position); err != nil {
 		return refusal.NewUnknown(refusal.DeadlineExceeded, "the write is not known to be durable")
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -71,6 +71,7 @@
 	view      routing.DatabaseView
 	durable   logpos.Position
 	stalled   bool
+	unwatched bool
 	lost      bool
 	confirmed bool
 }
@@ -84,7 +85,7 @@
 func (o *observer) Durable(string) (logpos.Position, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.durable, true
+	return o.durable, !o.unwatched
 }
 
 func (o *observer) PrimaryConfirmed(string) bool { return o.confirmed }
--- a/proxy/endpoint/home_test.go
+++ b/proxy/endpoint/home_test.go
@@ -16,6 +16,7 @@
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/routing"
 )
 
 const (
@@ -72,6 +73,11 @@
 		Entry("replaced primary", writing, func(f *fixture) { f.observer.view.Primary = "other" }, notRun, refusal.NotPrimary),
 		Entry("no primary", writing, func(f *fixture) { f.observer.view.Primary = "" }, notRun, refusal.NoPrimary),
 		Entry("stalled replication", writing, func(f *fixture) { f.observer.stalled = true }, notRun, refusal.ReplicationStalled),
+		Entry("primary that does not answer", writing, func(f *fixture) {
+			f.observer.stalled = true
+			f.observer.view.Members = []routing.MemberView{{Endpoint: f.observer.view.Primary}}
+		}, notRun, refusal.NoPrimary),
+		Entry("database that is not watched", writing, func(f *fixture) { f.observer.stalled, f.observer.unwatched = true, true }, notRun, refusal.NotHome),
 		Entry("refusal by the member", writing, answering(true, func(r *endpointv1.Run) *endpointv1.ConnectResponse { return failure(r.GetId(), true) }), notRun, refusal.StatementFailed),
 		Entry("failure at the member", writing, answering(true, func(r *endpointv1.Run) *endpointv1.ConnectResponse { return failure(r.GetId(), false) }), unknown, refusal.StatementFailed),
 		Entry("not durable", writing, func(f *fixture) { f.observer.lost = true }, unknown, refusal.DeadlineExceeded),
