--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -73,6 +73,7 @@
 	view      routing.DatabaseView
 	durable   logpos.Position
 	stalled   bool
+	unwatched bool
 	lost      bool
 	confirmed bool
 
@@ -91,7 +92,7 @@
 func (o *observer) Durable(string) (logpos.Position, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.durable, true
+	return o.durable, !o.unwatched
 }
 
 func (o *observer) Outcome(context.Context, string, string) failover.Resolution {
--- a/proxy/failover/cluster_test.go
+++ b/proxy/failover/cluster_test.go
@@ -182,11 +182,12 @@
 				pause:                 v.pausePromote,
 			}
 		},
-		Directory: &directory{cluster: c, self: self},
-		Logger:    funcr.New(func(_, args string) { GinkgoWriter.Println(self.Name, args) }, funcr.Options{Verbosity: 1}),
-		Random:    rand.Float64,
-		Store:     c.store,
-		Timer:     timer.NewSystem(),
+		Directory:    &directory{cluster: c, self: self},
+		HandoverTime: handoverTime,
+		Logger:       funcr.New(func(_, args string) { GinkgoWriter.Println(self.Name, args) }, funcr.Options{Verbosity: 1}),
+		Random:       rand.Float64,
+		Store:        c.store,
+		Timer:        timer.NewSystem(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	v.part = part
--- a/proxy/failover/failover_test.go
+++ b/proxy/failover/failover_test.go
@@ -150,25 +150,32 @@
 		expectRefusal(v.part.WaitApplied(short, "m0", position), refusal.NotRun, refusal.ReplicaBehind)
 
 		c.live.Store(&[]routing.VM{c.vms[1].self})
+		moved := time.Now()
+		// Commits of transactions that are still open here need the watch.
+		Consistently(func() bool { return v.part.WritesHealthy("flock") }, handoverTime/2).Should(BeTrue())
 		Eventually(func(g Gomega) {
 			g.Expect(v.part.Dump().(failover.Dump).Databases).To(BeEmpty())
 			view, ok := v.part.View("flock")
 			g.Expect(ok).To(BeTrue())
 			g.Expect(view.Members).To(HaveLen(3))
-		}).Should(Succeed())
+		}).WithTimeout(10 * handoverTime).Should(Succeed())
+		Expect(time.Since(moved)).To(BeNumerically(">=", handoverTime))
 		expectRefusal(v.part.WaitDurable(ctx, "flock", position), refusal.Unknown, refusal.NotHome)
 	})
 
 	It("watches a database that it attends (guards against writes that wait until a lost home is dropped)", func() {
 		v := c.vms[0]
 		c.live.Store(&[]routing.VM{c.vms[1].self})
-		Eventually(func() bool { return v.part.WritesHealthy("flock") }).Should(BeFalse())
+		Eventually(func() bool { return v.part.WritesHealthy("flock") }).WithTimeout(10 * handoverTime).Should(BeFalse())
 		Consistently(func() bool { return v.part.WritesHealthy("flock") }, 200*time.Millisecond).Should(BeFalse())
 		v.part.Attend("flock")
 		Eventually(func() bool { return v.part.WritesHealthy("flock") }).Should(BeTrue())
 	})
 })
 
+// handoverTime is short, so that a test sees the watch end.
+const handoverTime = 500 * time.Millisecond
+
 // expectRefusal guards against a wrong outcome or reason.
 func expectRefusal(err error, outcome refusal.Outcome, reason refusal.Reason) {
 	GinkgoHelper()
--- a/proxy/failover/part.go
+++ b/proxy/failover/part.go
@@ -27,10 +27,10 @@
 // reconcileInterval bounds the time until a change of membership is noticed.
 const reconcileInterval = 50 * time.Millisecond
 
-// handoverTime is how long a database is watched after its endpoints have moved to
+// defaultHandoverTime is how long a database is watched after its endpoints have moved to
 // other homes, as long as a shutdown lasts at most. Until then the writes and the
 // open transactions of this VM end, and their commits need the watch.
-const handoverTime = 40 * time.Second
+const defaultHandoverTime = 40 * time.Second
 
 // Directory tells which VMs are live.
 type Directory interface {
@@ -61,6 +61,9 @@
 	// DialEndpoint returns a client for a database member.
 	DialEndpoint func(address netip.AddrPort) endpointv1connect.EndpointServiceClient
 	Directory    Directory
+	// HandoverTime is how long a database is watched after its endpoints have
+	// moved to other homes; 40 s, the bound of a shutdown, if 0.
+	HandoverTime time.Duration
 	Logger       logr.Logger
 	// Random returns a value in [0, 1) and is safe for concurrent use.
 	Random   func() float64
@@ -105,6 +108,9 @@
 	if config.Registry == nil {
 		config.Registry = metrics.NewRegistry()
 	}
+	if config.HandoverTime <= 0 {
+		config.HandoverTime = defaultHandoverTime
+	}
 	if config.SampleInterval <= 0 {
 		config.SampleInterval = defaultSampleInterval
 	}
@@ -180,7 +186,7 @@
 			d.homed = true
 		case watched && d.homed:
 			d.homed = false
-			p.extend(declared.Name, handoverTime)
+			p.extend(declared.Name, p.config.HandoverTime)
 			rank = len(claimants)
 		case slices.Contains(attended, declared.Name):
 			d = p.ensure(ctx, snapshot, declared)
