Remember the homes until the live list changes

Cause: each request ranked all live VMs at the entry and at the home. Change: routing.Homes keeps the first and second home of an endpoint for the list of live VMs that it was asked with, by the identity of the list, which the membership replaces when it changes. Entry and home use it. Ruled out: a key made of the list's contents, which costs a pass over the list. The second home is ranked with the first, once for a list.

--- a/proxy/caller/dispatch.go
+++ b/proxy/caller/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -180,12 +179,11 @@
 	}
 	live := c.config.Directory.Live()
 	region := d.snapshot.RegionOf(declared.Place)
-	first, ok := routing.Home(endpoint, declared.Place, region, live)
+	first, ok := c.homes.First(endpoint, declared.Place, region, live)
 	if !ok || !d.second {
 		return first.Name, ok
 	}
-	rest := slices.DeleteFunc(slices.Clone(live), func(v routing.VM) bool { return v.Name == first.Name })
-	if second, ok := routing.Home(endpoint, declared.Place, region, rest); ok {
+	if second, ok := c.homes.Second(endpoint, declared.Place, region, live); ok {
 		return second.Name, true
 	}
 	return first.Name, true
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -89,6 +89,7 @@
 // Caller serves CallerService.
 type Caller struct {
 	config       Config
+	homes        routing.Homes
 	inFlight     peer.InFlight
 	refused      metrics.Meter
 	served       metrics.Timer
--- a/proxy/endpoint/home.go
+++ b/proxy/endpoint/home.go
@@ -79,6 +79,7 @@
 	base     context.Context
 	config   Config
 	homed    homed
+	homes    routing.Homes
 	inFlight peer.InFlight
 	shutdown context.CancelFunc
 	steps    metrics.Meter
--- a/proxy/endpoint/nodes.go
+++ b/proxy/endpoint/nodes.go
@@ -35,12 +35,11 @@
 	self := h.config.Directory.Self().Name
 	live := h.config.Directory.Live()
 	region := snapshot.RegionOf(declared.Place)
-	first, ok := routing.Home(declared.Name, declared.Place, region, live)
+	first, ok := h.homes.First(declared.Name, declared.Place, region, live)
 	if !ok || first.Name == self {
 		return ok
 	}
-	rest := slices.DeleteFunc(slices.Clone(live), func(v routing.VM) bool { return v.Name == first.Name })
-	second, ok := routing.Home(declared.Name, declared.Place, region, rest)
+	second, ok := h.homes.Second(declared.Name, declared.Place, region, live)
 	return ok && second.Name == self
 }
 
