--- a/loadtool/bench/replicas.go
+++ b/loadtool/bench/replicas.go
@@ -56,7 +56,7 @@
 
 // readResults are the sums of one run.
 type readResults struct {
-	reads, allowed, byReplica       int
+	reads, byReplica                int
 	couldServe, served              int
 	stale, crossed, refused, wasted int
 	latencies                       *hdrhistogram.Histogram
