--- a/proxy/endpoint/nodes.go
+++ b/proxy/endpoint/nodes.go
@@ -51,15 +51,14 @@
 	self := h.config.Directory.Self().Name
 	live := h.config.Directory.Live()
 	region := snapshot.RegionOf(declared.Place)
-	first, ok := routing.Home(declared.Name, declared.Place, region, live)
+	first, ok := h.homes.First(declared.Name, declared.Place, region, live)
 	switch {
 	case !ok:
 		return noRank
 	case first.Name == self:
 		return firstRank
 	}
-	rest := slices.DeleteFunc(slices.Clone(live), func(v routing.VM) bool { return v.Name == first.Name })
-	if second, ok := routing.Home(declared.Name, declared.Place, region, rest); !ok || second.Name != self {
+	if second, ok := h.homes.Second(declared.Name, declared.Place, region, live); !ok || second.Name != self {
 		return noRank
 	}
 	return secondRank
