--- a/proxy/caller/fixture_test.go
+++ b/proxy/caller/fixture_test.go
@@ -60,7 +60,9 @@
 	logged      strings.Builder
 	revoked     map[string]bool
 	stale       bool
-	view        routing.DatabaseView
+	// step is how far the time moves while a call is awaited.
+	step time.Duration
+	view routing.DatabaseView
 }
 
 func (f *fixture) Admit(context.Context, string) error { return f.admit }
@@ -178,6 +180,7 @@
 		incarnation: 1,
 		revoked:     map[string]bool{"k2": true},
 		sealer:      sealer,
+		step:        20 * time.Millisecond,
 		view: routing.DatabaseView{
 			Database: "d",
 			Term:     1,
@@ -283,7 +286,7 @@
 		case err = <-ended:
 			return true
 		default:
-			f.clock.Advance(20 * time.Millisecond)
+			f.clock.Advance(f.step)
 			return false
 		}
 	}).WithTimeout(30 * time.Second).Should(BeTrue())
