Count the reads that replicas serve

Cause: the share of reads served by replicas is a measure of the design, but no metric of the proxy told it; operators would have had to read responses. Change: counters caller.reads and caller.replicaReads at the entry. Ruled out: counters at the home, which does not see reads that went to the primary of another home. Result: a test with a replica read, a primary read and a write counts 2 and 1. Conclusion: the worst-served workspace still has no metric.

--- a/proxy/caller/caller_test.go
+++ b/proxy/caller/caller_test.go
@@ -118,6 +118,16 @@
 		}),
 	)
 
+	It("counts the reads that a replica served", func() {
+		f.home = answering(&peerv1.ForwardResult{Outcome: callerv1.Outcome_OUTCOME_DONE, FromReplica: true}, done())
+		for _, access := range []callerv1.Access{reading, reading, writing} {
+			_, err := f.execute(goodKey, newExecute(access))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(f.caller.reads.Count()).To(BeEquivalentTo(2))
+		Expect(f.caller.replicaReads.Count()).To(BeEquivalentTo(1))
+	})
+
 	It("goes to the primary when a replica is behind", func() {
 		f.home = answering(refusedWith(refusal.NotRun, refusal.ReplicaBehind), done())
 		request := newExecute(reading)
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -90,7 +90,9 @@
 type Caller struct {
 	config       Config
 	inFlight     peer.InFlight
+	reads        metrics.Counter
 	refused      metrics.Meter
+	replicaReads metrics.Counter
 	served       metrics.Timer
 	transactions openTransactions
 	views        *views
@@ -114,10 +116,12 @@
 		config.Retries = unlimited{}
 	}
 	return &Caller{
-		config:  config,
-		refused: metrics.GetOrRegisterMeter("caller.refused", config.Metrics),
-		served:  metrics.GetOrRegisterTimer("caller.requests", config.Metrics),
-		views:   newViews(config),
+		config:       config,
+		reads:        metrics.GetOrRegisterCounter("caller.reads", config.Metrics),
+		refused:      metrics.GetOrRegisterMeter("caller.refused", config.Metrics),
+		replicaReads: metrics.GetOrRegisterCounter("caller.replicaReads", config.Metrics),
+		served:       metrics.GetOrRegisterTimer("caller.requests", config.Metrics),
+		views:        newViews(config),
 	}, nil
 }
 
--- a/proxy/caller/statements.go
+++ b/proxy/caller/statements.go
@@ -97,6 +97,12 @@
 	if refused := peer.DecodeRefusal(result); refused != nil {
 		return nil, refused
 	}
+	if d.read {
+		c.reads.Inc(1)
+	}
+	if result.GetFromReplica() {
+		c.replicaReads.Inc(1)
+	}
 	return &callerv1.ExecuteResponse{
 		RowsAffected:         result.GetRowsAffected(),
 		SessionToken:         c.sealToken(r, database, result, !d.read),
--- a/proxy/operator/operator_test.go
+++ b/proxy/operator/operator_test.go
@@ -101,7 +101,7 @@
 func (f *fakeFleet) Incarnation(string) (uint64, bool) { return 7, true }
 func (f *fakeFleet) JSON() ([]byte, error)             { return []byte(`{"vm":"vm-1"}`), nil }
 func (f *fakeFleet) Self() routing.VM                  { return f.Live()[0] }
-func (f *fakeFleet) FetchView(_ context.Context, database string) (v routing.DatabaseView, err error) {
+func (f *fakeFleet) FetchView(context.Context, string) (v routing.DatabaseView, err error) {
 	if f.unwatched {
 		return v, errLost
 	}
