--- a/amaranthctl/commands/tls_test.go
+++ b/amaranthctl/commands/tls_test.go
@@ -26,8 +26,14 @@
 	"amaranthdock.dev/timer"
 )
 
+// The ends of certificates, far from any clock that runs the tests.
+var (
+	expired = time.Unix(1, 0)
+	valid   = time.Unix(1<<33, 0)
+)
+
 // newAuthority writes an authority and a certificate for 127.0.0.1 signed by it.
-func newAuthority() *settings.TLSFiles {
+func newAuthority(notAfter time.Time) *settings.TLSFiles {
 	GinkgoHelper()
 	directory := GinkgoT().TempDir()
 	write := func(name, kind string, der []byte, err error) string {
@@ -43,14 +49,14 @@
 	}
 	authority := &x509.Certificate{
 		SerialNumber:          big.NewInt(1),
-		NotAfter:              time.Unix(1<<33, 0),
+		NotAfter:              valid,
 		IsCA:                  true,
 		KeyUsage:              x509.KeyUsageCertSign,
 		BasicConstraintsValid: true,
 	}
 	leaf := &x509.Certificate{
 		SerialNumber: big.NewInt(2),
-		NotAfter:     time.Unix(1<<33, 0),
+		NotAfter:     notAfter,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
 	}
@@ -74,8 +80,8 @@
 // certificate of its authority, and against operators who talk to a false proxy.
 var _ = Describe("Mutual TLS", func() {
 	DescribeTable("between amaranthctl and the operator listener",
-		func(arguments func(own, other *settings.TLSFiles) []string, code int, message string) {
-			own, other := newAuthority(), newAuthority()
+		func(notAfter time.Time, arguments func(own, other *settings.TLSFiles) []string, code int, message string) {
+			own, other := newAuthority(notAfter), newAuthority(valid)
 			mux := http.NewServeMux()
 			server := &fakeProxy{document: &declaration.Document{Version: 1}}
 			mux.Handle(operatorv1connect.NewOperatorServiceHandler(server))
@@ -99,18 +105,21 @@
 			Expect(output.String() + failure.String()).To(ContainSubstring(message))
 			Expect(server.versionCalls > 0).To(Equal(code == 0))
 		},
-		Entry("good certificate", func(own, _ *settings.TLSFiles) []string {
+		Entry("good certificate", valid, func(own, _ *settings.TLSFiles) []string {
 			return []string{"--ca-file", own.CAFile, "--certificate-file", own.CertificateFile, "--key-file", own.KeyFile}
 		}, 0, "vm-1"),
-		Entry("no certificate", func(own, _ *settings.TLSFiles) []string {
+		Entry("no certificate", valid, func(own, _ *settings.TLSFiles) []string {
 			return []string{"--ca-file", own.CAFile}
 		}, 1, "unavailable"),
-		Entry("certificate of another authority", func(own, other *settings.TLSFiles) []string {
+		Entry("certificate of another authority", valid, func(own, other *settings.TLSFiles) []string {
 			return []string{"--ca-file", own.CAFile, "--certificate-file", other.CertificateFile, "--key-file", other.KeyFile}
 		}, 1, "unavailable"),
-		Entry("proxy of another authority", func(own, other *settings.TLSFiles) []string {
+		Entry("proxy of another authority", valid, func(own, other *settings.TLSFiles) []string {
 			return []string{"--ca-file", other.CAFile, "--certificate-file", own.CertificateFile, "--key-file", own.KeyFile}
 		}, 1, "certificate signed by unknown authority"),
-		Entry("plain text", func(_, _ *settings.TLSFiles) []string { return nil }, 1, "unavailable"),
+		Entry("proxy with an expired certificate", expired, func(own, other *settings.TLSFiles) []string {
+			return []string{"--ca-file", own.CAFile, "--certificate-file", other.CertificateFile, "--key-file", other.KeyFile}
+		}, 1, "certificate has expired"),
+		Entry("plain text", valid, func(_, _ *settings.TLSFiles) []string { return nil }, 1, "unavailable"),
 	)
 })
