--- a/proxy/caller/caller_test.go
+++ b/proxy/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
 	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
@@ -118,6 +119,18 @@
 		}),
 	)
 
+	It("counts the reads that a replica served", func() {
+		f.home = answering(&peerv1.ForwardResult{Outcome: callerv1.Outcome_OUTCOME_DONE, FromReplica: true}, done())
+		for _, access := range []callerv1.Access{reading, reading, writing} {
+			_, err := f.execute(goodKey, newExecute(access))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for _, name := range []string{"caller.reads/primary", "caller.reads/replica"} {
+			counter := metrics.GetOrRegisterCounter(name, f.caller.config.Metrics)
+			Expect(counter.Count()).To(BeEquivalentTo(1), name)
+		}
+	})
+
 	It("goes to the primary when a replica is behind", func() {
 		f.home = answering(refusedWith(refusal.NotRun, refusal.ReplicaBehind), done())
 		request := newExecute(reading)
