Watch a database for a while after its endpoints have moved away

Cause: a VM that is leaving is no longer the home of any endpoint, so it ended its watch of the database while transactions were open. Their commits were refused as replicationStalled, and writes that waited to be durable lost their evidence. Change: the watch goes on for 40 s, the bound of a shutdown, with the last rank among the claimants. Ruled out: commits without the check, which would give up the early refusal.

--- a/proxy/failover/database.go
+++ b/proxy/failover/database.go
@@ -39,6 +39,8 @@
 	part   *Part
 	name   string
 	cancel context.CancelFunc
+	// homed is when this VM was last the home of a member; only for reconcile.
+	homed time.Time
 
 	mu        sync.Mutex
 	monitor   *promotion.Monitor
--- a/proxy/failover/part.go
+++ b/proxy/failover/part.go
@@ -27,6 +27,11 @@
 // reconcileInterval bounds the time until a change of membership is noticed.
 const reconcileInterval = 50 * time.Millisecond
 
+// handoverTime is how long a database is watched after its endpoints have moved to
+// other homes, as long as a shutdown lasts at most. Until then the writes and the
+// open transactions of this VM end, and their commits need the watch.
+const handoverTime = 40 * time.Second
+
 // Directory tells which VMs are live.
 type Directory interface {
 	Address(vm string) (netip.AddrPort, bool)
@@ -133,16 +138,27 @@
 		return
 	}
 	live := p.config.Directory.Live()
+	now := p.config.Timer.Now()
 	self := p.config.Directory.Self().Name
 	wanted := map[string]bool{}
 	for _, declared := range snapshot.Databases() {
 		claimants := claimants(snapshot, declared, live)
 		rank := slices.Index(claimants, self)
-		if rank < 0 {
+		d, watched := p.find(declared.Name)
+		switch {
+		case rank >= 0:
+			d = p.ensure(ctx, snapshot, declared)
+		case watched && now.Sub(d.homed) < handoverTime:
+			// The others claim first.
+			rank = len(claimants)
+		default:
 			continue
 		}
 		wanted[declared.Name] = true
-		p.ensure(ctx, snapshot, declared).update(ctx, snapshot, declared, claimants, rank)
+		d.update(ctx, snapshot, declared, claimants, rank)
+		if rank < len(claimants) {
+			d.homed = now
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
