Let the entry retry writes at a home that has just taken over

Cause: a home that does not watch the database yet, or has not heard from its replicas, refused writes as replicationStalled, which the entry does not retry. Change: without any evidence of replication the refusal is noPrimary, which the entry retries until the deadline. Ruled out: to call a new watch healthy for the stall bound, which was tried and does not help, because the watch has not begun when the first write arrives.

--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -110,6 +110,11 @@
 		return 0, refusal.NewNotRun(refusal.EndpointLeaving, "the endpoint is leaving")
 	}
 	if !h.config.Observer.WritesHealthy(s.GetDatabase()) {
+		// A home that has just taken over has not heard from the replicas yet,
+		// which is no stall: the entry tries again.
+		if _, known := h.config.Observer.Durable(s.GetDatabase()); !known {
+			return 0, refusal.NewNotRun(refusal.NoPrimary, "the home has no status of the database yet")
+		}
 		return 0, &refusal.Error{
 			Outcome:    refusal.NotRun,
 			Reason:     refusal.ReplicationStalled,
