Refuse requests with a key until a VM has heard from its peers

Cause: a restarted proxy that got a stale answer of the store took it for the newest version, and was authorized to serve with it until it heard of a newer one. Change: Authorized is false until the VM is ready, that is after its peers answered and it has the newest version that they have. Ruled out: distrust of the store's answers as such, which would stop the watchers.

--- a/proxy/gossip/configuration.go
+++ b/proxy/gossip/configuration.go
@@ -40,11 +40,18 @@
 	return age
 }
 
-// Authorized tells whether requests that need a key may run.
+// Authorized tells whether requests that need a key may run. A VM that is not
+// ready has heard from no peer, so a stale answer of the store could pass for the
+// newest version.
 func (p *Part) Authorized() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.versions.Authorized(p.config.Timer.Now())
+	return p.authorized(p.config.Timer.Now())
+}
+
+// authorized is Authorized for a caller that holds mu.
+func (p *Part) authorized(now time.Time) bool {
+	return p.ready.Load() && p.versions.Authorized(now)
 }
 
 // Current returns the snapshot in effect; nil before there is one.
--- a/proxy/gossip/dump.go
+++ b/proxy/gossip/dump.go
@@ -42,7 +42,7 @@
 		Ready:                p.ready.Load(),
 		Leaving:              p.left,
 		Watching:             p.versions.Watching(),
-		Authorized:           p.versions.Authorized(now),
+		Authorized:           p.authorized(now),
 		AuthorityAge:         "unknown",
 		ConfigurationVersion: p.versions.Version(),
 		HighestVersionHeard:  p.versions.HighestHeard(),
