Report a VM as not ready until it has the share record

Cause: a VM that starts while the store is out takes its configuration from its peers and was ready, but refused every request, because only the store holds the shares. Change: readiness also needs the share record. Ruled out: the record from peers, which could be older than a share that moved. Conclusion: the balancer sends nothing to a VM that cannot serve.

--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -287,6 +287,8 @@
 
 var errNotReady = eris.New("the configuration or the membership is not known yet")
 
+var errNoShares = eris.New("the share record has not been read yet")
+
 var errLeaving = eris.New("the VM is leaving")
 
 // ready returns an error while the load balancer should send nothing.
@@ -299,6 +301,10 @@
 	if !p.gossip.Ready() {
 		return errNotReady
 	}
+	// Until the share record has been read, every request is refused.
+	if !p.lending.Ready() {
+		return errNoShares
+	}
 	return nil
 }
 
