--- a/loadtool/faults/control_fixture_test.go
+++ b/loadtool/faults/control_fixture_test.go
@@ -106,11 +106,35 @@
 			}, 20*time.Second, 20*time.Millisecond).Should(Succeed())
 		}
 	}
+	Eventually(func(g Gomega) {
+		held, _ := d.shares()
+		g.Expect(held).To(HaveLen(len(d.declared.Document.Workspaces) + len(d.declared.Document.Routes)))
+		for subject, millionths := range held {
+			g.Expect(millionths).To(BeEquivalentTo(1_000_000), subject)
+		}
+	}, 20*time.Second, 100*time.Millisecond).Should(Succeed())
 	// Buckets start empty.
 	pause(time.Second)
 	return d
 }
 
+// shares returns the millionths that the live VMs hold of each subject together,
+// and the tokens in their buckets.
+func (d *deployment) shares() (held map[string]int64, tokens map[string][]int64) {
+	GinkgoHelper()
+	held = map[string]int64{}
+	tokens = map[string][]int64{}
+	for _, v := range d.LiveVMs() {
+		dump, err := d.tryDump(v)
+		Expect(err).NotTo(HaveOccurred())
+		for _, s := range dump.Lending.Subjects {
+			held[s.Name] += s.Millionths
+			tokens[s.Name] = append(tokens[s.Name], s.Tokens)
+		}
+	}
+	return held, tokens
+}
+
 func asHladnik(*harness.Config) {}
 
 // withoutLimits sets limits that no spec reaches, for specs of other guarantees.
@@ -260,8 +284,10 @@
 // proxyDump is the part of a proxy's dump that the specs read.
 type proxyDump struct {
 	Gossip struct {
+		Authorized           bool   `json:"authorized"`
 		ConfigurationVersion uint64 `json:"configurationVersion"`
 		PresetInForce        string `json:"presetInForce"`
+		Ready                bool   `json:"ready"`
 	} `json:"gossip"`
 	Endpoint struct {
 		Transactions []struct {
--- a/loadtool/faults/control_load_test.go
+++ b/loadtool/faults/control_load_test.go
@@ -52,6 +52,7 @@
 
 // startLoad sends requests until stop is called, which waits for the answers.
 func (d *deployment) startLoad(config loadConfig) *load {
+	GinkgoHelper()
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{}
 	clients := map[*harness.VM]*client.Client{}
@@ -81,6 +82,8 @@
 		cancel()
 		running.Wait()
 	}
+	// A spec that fails leaves no load to the next one.
+	DeferCleanup(l.stop)
 	return l
 }
 
