--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -298,6 +298,8 @@
 
 var errNotReady = eris.New("the configuration, the membership or the shares are not known yet")
 
+var errNoShares = eris.New("the share record has not been read yet")
+
 var errLeaving = eris.New("the VM is leaving")
 
 // ready returns an error while the load balancer should send nothing.
@@ -310,6 +312,10 @@
 	if !p.gossip.Ready() || !p.lending.Ready() {
 		return errNotReady
 	}
+	// Until the share record has been read, every request is refused.
+	if !p.lending.Ready() {
+		return errNoShares
+	}
 	return nil
 }
 
