--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -296,7 +296,7 @@
 	dumps.Register("caller", b.made.caller)
 }
 
-var errNotReady = eris.New("the configuration, the membership or the shares are not known yet")
+var errNotReady = eris.New("the configuration or the membership is not known yet")
 
 var errNoShares = eris.New("the share record has not been read yet")
 
@@ -309,7 +309,7 @@
 		return errLeaving
 	default:
 	}
-	if !p.gossip.Ready() || !p.lending.Ready() {
+	if !p.gossip.Ready() {
 		return errNotReady
 	}
 	// Until the share record has been read, every request is refused.
