Let the storm section outlast its outage

Cause: the section on an endpoint that is back after 5 s indexes the counts of 15 seconds, and fails with a shorter run, as the test of the benchmark has it. Change: the section runs for 30 s or longer. The test of the report also asks for no stale read in any run. Ruled out: a longer run in the test, which would hide the fault. Conclusion: it stays.

--- a/loadtool/bench/bench_test.go
+++ b/loadtool/bench/bench_test.go
@@ -24,7 +24,9 @@
 		Expect(bench.Run(config).JSON()).To(Equal(first))
 	})
 
-	It("never exceeds the strict bound of a limit", func() {
+	It("never exceeds the strict bound of a limit and never reads stale data", func() {
+		// Guards against lent tokens that count twice, and against a replica that
+		// serves a read without its position or age.
 		report := bench.Run(bench.Config{Seed: 1, Duration: 20 * time.Second})
 		Expect(report.Table()).To(ContainSubstring("lent shares*"))
 		for _, result := range report.Results {
@@ -32,6 +34,9 @@
 				if m.Name == "excessOverBound" {
 					Expect(m.Value).To(BeNumerically("<=", 1e-6))
 				}
+				if m.Name == "staleReads" {
+					Expect(m.Value).To(BeZero())
+				}
 			}
 		}
 	})
--- a/loadtool/bench/recovery.go
+++ b/loadtool/bench/recovery.go
@@ -169,7 +169,9 @@
 // storm stops an endpoint for 5 s at 80% load and looks at the time after it.
 func storm(config Config) []Result {
 	var results []Result
-	const load, before = 0.8, 10
+	const load, before, shortest = 0.8, 10, 30 * time.Second
+	// The outage and the time after it must fit.
+	config.Duration = max(config.Duration, shortest)
 	for _, p := range mixChoices() {
 		r := newMixRun(p.config)
 		r.send(config, load, false, deadline)
