Shorten the hand-over of a lost VM's shares, wait for late loans

Cause: limits at 85% of the rate refused requests wrongly: after the loss of a VM its parts stayed unused for 10 s, which leaves 85.7% of the rate, and on a busy machine a loan that arrived later than 100 ms ended the wait of its requests. Change: a part moves after the list has not named the VM for 3 s (three readings; older revisions of the list are refused by the client); a request waits for three loans in place of one, if it is expected to get a token.

--- a/proxy/failover/observer.go
+++ b/proxy/failover/observer.go
@@ -28,8 +28,9 @@
 	return d.monitor.Durable()
 }
 
-// ExpectedCatchUp estimates the time until a replica reaches a position, from
-// the mean of its recent delays. It returns false without such a mean.
+// ExpectedCatchUp estimates the time until a replica reaches a position: the mean
+// of its recent delays less the time since the primary was seen to reach the
+// position. It returns false without such a mean.
 func (p *Part) ExpectedCatchUp(endpoint string, required logpos.Position) (time.Duration, bool) {
 	d, ok := p.findByEndpoint(endpoint)
 	if !ok {
@@ -41,7 +42,8 @@
 		return 0, true
 	}
 	mean, ok := d.catchUp[endpoint]
-	return mean, ok
+	passed, _ := d.trail.Age(p.config.Timer.Now(), required)
+	return max(mean-passed, 0), ok
 }
 
 // PrimaryConfirmed tells whether a majority was in the primary's term within the
--- a/proxy/lending/admit.go
+++ b/proxy/lending/admit.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// maxWait is the longest wait for a token: one loan, and a little for the
-	// next token of a bucket that is almost empty.
-	maxWait = limits.LoanBound + 50*time.Millisecond
+	// maxWait is the longest wait for a token: three loans, of which two may be
+	// late, and a little for the next token of a bucket that is almost empty.
+	// Requests that are not expected to get a token in time are refused at once.
+	maxWait = 3*limits.LoanBound + 50*time.Millisecond
 	// minPause is the shortest pause between two rounds of asking lenders.
 	minPause = time.Millisecond
 	// notReadyRetryAfter is the retry delay while there is no share record or no
--- a/proxy/lending/shares.go
+++ b/proxy/lending/shares.go
@@ -17,8 +17,9 @@
 	// whether it is due to read it.
 	checkInterval = time.Second
 	// goneAfter is how long the platform's list must not have named a VM until
-	// its part moves. It covers answers of the list that are out of order.
-	goneAfter = 10 * time.Second
+	// its part moves: three readings in a row. Older revisions of the list are
+	// refused by the store client.
+	goneAfter = 3 * time.Second
 	// incompleteInterval is the time until the next reading of a record that
 	// lacks a subject or that has not passed an own write.
 	incompleteInterval = time.Second
