--- a/proxy/caller/errors.go
+++ b/proxy/caller/errors.go
@@ -1,12 +1,8 @@
 package caller
 
 import (
-	"errors"
-
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/types/known/durationpb"
 
-	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/proxy/peer"
 )
@@ -20,23 +16,10 @@
 	}
 	c.refused.Mark(1)
 	c.count("refusals/" + string(refused.Reason))
-	failed := connect.NewError(codeOf(refused), errors.New(refused.Error()))
-	message := &callerv1.Refusal{
-		Outcome:              peer.EncodeOutcome(refused.Outcome),
-		Reason:               string(refused.Reason),
-		Field:                refused.Field,
-		RequestId:            requestID,
-		ConfigurationVersion: version,
-	}
-	if refused.RetryAfter > 0 {
-		message.RetryAfter = durationpb.New(refused.RetryAfter)
-	}
-	detail, err := connect.NewErrorDetail(message)
+	failed, err := peer.AsError(codeOf(refused), refused.Error(), refused, requestID, version)
 	if err != nil {
 		c.config.Log.Error(err, "caller: refusal not encoded", "requestId", requestID)
-		return failed
 	}
-	failed.AddDetail(detail)
 	return failed
 }
 
--- a/proxy/peer/convert.go
+++ b/proxy/peer/convert.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
@@ -114,6 +116,29 @@
 	return result
 }
 
+// AsError returns a refusal as an error of the protocol, with the code and the
+// message given and a Refusal detail that also carries the request id, empty if
+// there is none, and the version of the configuration.
+func AsError(code connect.Code, message string, refused *refusal.Error, requestID string, version uint64) (*connect.Error, error) {
+	failed := connect.NewError(code, eris.New(message))
+	detail := &callerv1.Refusal{
+		Outcome:              EncodeOutcome(refused.Outcome),
+		Reason:               string(refused.Reason),
+		Field:                refused.Field,
+		RequestId:            requestID,
+		ConfigurationVersion: version,
+	}
+	if refused.RetryAfter > 0 {
+		detail.RetryAfter = durationpb.New(refused.RetryAfter)
+	}
+	encoded, err := connect.NewErrorDetail(detail)
+	if err != nil {
+		return failed, eris.Wrap(err, "encode the refusal detail")
+	}
+	failed.AddDetail(encoded)
+	return failed, nil
+}
+
 // DecodeRefusal returns the refusal in a result, or nil if the step is done.
 func DecodeRefusal(result *peerv1.ForwardResult) *refusal.Error {
 	if result.GetOutcome() == callerv1.Outcome_OUTCOME_DONE {
