--- a/loadtool/demo/report.go
+++ b/loadtool/demo/report.go
@@ -16,10 +16,26 @@
 	"amaranthdock.dev/loadtool/workload"
 )
 
+// workOf names the users' work that each kind of request stands for.
+var workOf = map[string]map[workload.Kind]string{
+	"hladnik": {
+		workload.KindAgedRead:    "verification queries",
+		workload.KindRead:        "own entries read back",
+		workload.KindTransaction: "certificates with logbook entry",
+		workload.KindWrite:       "certificates, logbook entries",
+	},
+	"saltmyri": {
+		workload.KindAgedRead:    "intake desk queries",
+		workload.KindRead:        "own entries read back",
+		workload.KindTransaction: "lambing entries with pasture move",
+		workload.KindWrite:       "tag readings, pasture moves",
+	},
+}
+
 // report prints the tables and returns an error if a record is not as it must be.
 func (r *runner) report() error {
 	r.printf("\n")
-	if err := r.journal.WriteTable(r.config.Output); err != nil {
+	if err := r.journal.WriteTable(r.config.Output, workOf[r.config.Shape.Name]); err != nil {
 		return eris.Wrap(err, "demo: report")
 	}
 	r.printf("reads served by replicas: %.1f%%\n", 100*r.journal.ReplicaShare())
--- a/loadtool/faults/control/leaving_test.go
+++ b/loadtool/faults/control/leaving_test.go
@@ -79,7 +79,7 @@
 	GinkgoHelper()
 	// The members replicate what is still under way.
 	pause(500 * time.Millisecond)
-	Expect(journal.WriteTable(GinkgoWriter)).To(Succeed())
+	Expect(journal.WriteTable(GinkgoWriter, nil)).To(Succeed())
 	for _, database := range d.shape.Databases {
 		verdict, err := workload.Verify(journal.Writes(), database, d.logs(database))
 		Expect(err).NotTo(HaveOccurred())
--- a/loadtool/workload/report.go
+++ b/loadtool/workload/report.go
@@ -40,17 +40,18 @@
 	return float64(j.replicaReads) / float64(j.reads)
 }
 
-// WriteTable writes the outcomes, latencies and reasons as a table.
-func (j *Journal) WriteTable(output io.Writer) error {
+// WriteTable writes the outcomes, latencies and reasons as a table. The work names
+// what the users call each kind; a kind without a name stands for itself.
+func (j *Journal) WriteTable(output io.Writer, work map[Kind]string) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "kind\tdone\tnot run\tunknown\tp50\tp99\tmax\t")
+	fmt.Fprintln(table, "work\tdone\tnot run\tunknown\tp50\tp99\tmax\t")
 	const p50, p99 = 50, 99
 	for _, kind := range slices.Sorted(maps.Keys(j.outcomes)) {
 		counts := j.outcomes[kind]
 		h := j.latencies[kind]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%s\t%s\t\n", kind,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%s\t%s\t\n", cmp.Or(work[kind], string(kind)),
 			counts[client.Done], counts[client.NotRun], counts[client.Unknown],
 			rounded(h.ValueAtQuantile(p50)), rounded(h.ValueAtQuantile(p99)), rounded(h.Max()))
 	}
