Keep a lost primary's statements out of the queue's averages and of its way

Statements that were stuck at the lost primary counted with the time until the loss was noticed, which the stricter estimate of the queue turned into refusals; others waited in the queue behind them until they expired. Change: a step that the endpoint did not answer frees its slot without a measurement (Queue.Failed); a waiting step is checked every 100 ms and leaves the queue when the endpoint is no longer the primary or no longer fit, which the entry retries. Ruled out: retrying overloaded and queueTimeout at the entry, which would add load where the endpoint really is overloaded.

--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -152,9 +152,8 @@
 	if !ok {
 		return
 	}
-	delete(q.running, id)
+	q.free(id, r)
 	service := max(now.Sub(r.started), 0)
-	r.flow.running--
 	// The flow was charged with the expected time; the rest is settled now.
 	r.flow.start += (service - r.cost).Seconds() / r.weight
 	r.flow.long += (service - r.cost).Seconds() / r.weight
@@ -163,6 +162,15 @@
 	q.average.add(service)
 }
 
+// Failed frees the slot of an item that the endpoint did not answer. Its time says
+// nothing of the service time: after a failover, averages that held the time until
+// a lost connection was noticed refused new items as overloaded.
+func (q *Queue) Failed(id uint64) {
+	if r, ok := q.running[id]; ok {
+		q.free(id, r)
+	}
+}
+
 // Next returns the item to start (Run), an item to drop (Expired), or Idle. Call
 // it until it returns Idle.
 func (q *Queue) Next(now time.Time) Decision {
@@ -258,6 +266,11 @@
 	return f
 }
 
+func (q *Queue) free(id uint64, r run) {
+	delete(q.running, id)
+	r.flow.running--
+}
+
 func (q *Queue) refuse(now time.Time, f *flow, item Item) (Refused, bool) {
 	wait := q.expectedWait(now, f, item.Transaction)
 	if !now.Add(wait + q.needed(now, f)).Before(item.Deadline) {
--- a/decision/scheduling/queue_test.go
+++ b/decision/scheduling/queue_test.go
@@ -94,6 +94,25 @@
 		Entry("first in first out", scheduling.FirstInFirstOut{}, 3, 120, 0),
 	)
 
+	It("takes no service time from items that the endpoint did not answer", func() {
+		// Guards against refusals as overloaded after a failover, when each lost
+		// statement held its slot until the loss was noticed.
+		f := newFixture(scheduling.Config{
+			Slots:   1,
+			MaxWait: time.Second,
+		})
+		for range 10 {
+			f.arrive("a", 1, time.Hour, false)
+			run, ok := f.Next(f.now).(scheduling.Run)
+			Expect(ok).To(BeTrue())
+			f.now = f.now.Add(time.Minute)
+			f.Failed(run.Item.ID)
+		}
+		Expect(f.Running()).To(BeZero())
+		f.flood("a", 10)
+		Expect(f.ExpectedWait(f.now, "a")).To(BeNumerically("<", time.Second))
+	})
+
 	It("gives precedence to transaction steps, up to a bound", func() {
 		// Guards against steps that wait behind statements while they hold a
 		// connection, and against a subject that starves others with steps.
--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -75,7 +75,7 @@
 		got  answer
 		term uint64
 	)
-	err := s.node.submit(ctx, h.item(s), func() error {
+	err := s.node.submit(ctx, h.item(s), h.checkWrite(s), func() error {
 		var err error
 		if term, err = h.writableTerm(s); err != nil {
 			return err
@@ -96,6 +96,14 @@
 	}, got.rows, nil
 }
 
+// checkWrite returns the check of a write that waits in the queue.
+func (h *Home) checkWrite(s *step) func() error {
+	return func() error {
+		_, err := h.writableTerm(s)
+		return err
+	}
+}
+
 // writableTerm returns the term in which a write may be sent to the endpoint now.
 func (h *Home) writableTerm(s *step) (uint64, error) {
 	view, ok := h.config.Observer.View(s.GetDatabase())
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -49,6 +49,8 @@
 
 func (q *fifo) ExpectedWait(time.Time, string) time.Duration { return 0 }
 
+func (q *fifo) Failed(uint64) { q.running-- }
+
 func (q *fifo) Finished(time.Time, uint64) { q.running-- }
 
 func (q *fifo) Next(time.Time) scheduling.Decision {
@@ -305,6 +307,9 @@
 	return f
 }
 
+// fixtureSlots of the endpoint.
+const fixtureSlots = 3
+
 // place declares the endpoint at an address, with 3 slots and 10 connections.
 func (f *fixture) place(address netip.AddrPort) {
 	f.mu.Lock()
@@ -317,7 +322,7 @@
 					Name:        "e",
 					Place:       "x",
 					Address:     address,
-					Slots:       3,
+					Slots:       fixtureSlots,
 					Connections: 10,
 				}},
 			}},
--- a/proxy/endpoint/home_test.go
+++ b/proxy/endpoint/home_test.go
@@ -125,6 +125,49 @@
 		Entry("no proof", failover.Resolution{Outcome: refusal.Unknown}, unknown, refusal.ConnectionLost),
 	)
 
+	It("takes a waiting write out of the queue when the primary is replaced", func() {
+		// Guards against writes that wait behind statements that are stuck at a
+		// lost primary until they are refused.
+		release := make(chan struct{})
+		f.member.answer = func(run *endpointv1.Run) ([]*endpointv1.ConnectResponse, bool) {
+			<-release
+			return []*endpointv1.ConnectResponse{done(run, 0, true)}, true
+		}
+		results := make(chan *peerv1.ForwardResult, fixtureSlots+1)
+		for i := range fixtureSlots + 1 {
+			go func() {
+				result, _ := f.run(newRequest(writing, fmt.Sprint(i)))
+				results <- result
+			}()
+		}
+		Eventually(func() int {
+			f.home.mu.Lock()
+			defer f.home.mu.Unlock()
+			if n, ok := f.home.nodes["e"]; ok {
+				return n.queued()
+			}
+			return 0
+		}).Should(Equal(fixtureSlots + 1))
+		f.observer.mu.Lock()
+		f.observer.view.Primary = "other"
+		f.observer.mu.Unlock()
+		var first *peerv1.ForwardResult
+		Eventually(func() bool {
+			f.clock.Advance(checkInterval)
+			select {
+			case first = <-results:
+				return true
+			default:
+				return false
+			}
+		}).Should(BeTrue())
+		expectResult(first, notRun, refusal.NotPrimary)
+		close(release)
+		for range fixtureSlots {
+			<-results
+		}
+	})
+
 	It("keeps to half of the connections and replaces those to an old address", func() {
 		id := f.begin()
 		f.begin()
--- a/proxy/endpoint/node.go
+++ b/proxy/endpoint/node.go
@@ -13,6 +13,9 @@
 	"amaranthdock.dev/timer"
 )
 
+// checkInterval of a waiting step is a fraction of the detection time (500 ms).
+const checkInterval = 100 * time.Millisecond
+
 // shape is what a node cannot change while it works.
 type shape struct {
 	slots       int
@@ -66,28 +69,63 @@
 }
 
 // submit queues a step, waits until a worker has run it and returns its error. A
-// step that was not run is refused as such.
-func (n *node) submit(ctx context.Context, item scheduling.Item, run func() error) error {
+// step that was not run is refused as such. While the step waits, a check that is
+// not nil is made from time to time; its error takes the step out of the queue, so
+// that a statement does not wait behind others that are stuck at a lost primary.
+func (n *node) submit(ctx context.Context, item scheduling.Item, check, run func() error) error {
 	waiting := &task{
 		done: make(chan struct{}),
-		run: func() error {
-			n.waited.Update(n.timer.Now().Sub(item.Arrived))
-			return run()
-		},
+		run:  run,
 	}
 	if err := n.enqueue(item, waiting); err != nil {
 		return err
 	}
+	for {
+		ended, err := n.await(ctx, waiting, check)
+		if ended {
+			return err
+		}
+		if err != nil && n.remove(waiting) {
+			return err
+		}
+	}
+}
+
+// await waits until the step has run (ended), the context has ended, or the check
+// is due, and returns the step's error or the reason to give the step up.
+func (n *node) await(ctx context.Context, waiting *task, check func() error) (ended bool, err error) {
+	recheck := n.timer.After(checkInterval)
+	defer recheck.Stop()
 	select {
 	case <-waiting.done:
-		return waiting.err
+		return true, waiting.err
 	case <-ctx.Done():
+		if n.remove(waiting) {
+			return true, refusal.NewNotRun(refusal.QueueTimeout, "the request ended while it waited in the queue")
+		}
+		<-waiting.done
+		return true, waiting.err
+	case <-recheck.C():
+		if check == nil {
+			return false, nil
+		}
+		return false, check()
 	}
-	if n.remove(waiting) {
-		return refusal.NewNotRun(refusal.QueueTimeout, "the request ended while it waited in the queue")
+}
+
+// isAnswered tells whether the endpoint answered a step, be it with an error of the
+// statement.
+func isAnswered(err error) bool {
+	refused, ok := refusal.As(err)
+	if !ok {
+		return err == nil
+	}
+	switch refused.Reason {
+	case refusal.AccessMismatch, refusal.StatementFailed, refusal.TransactionConflict:
+		return true
+	default:
+		return false
 	}
-	<-waiting.done
-	return waiting.err
 }
 
 // expectedWait of a step that arrives now.
@@ -184,7 +222,11 @@
 
 func (n *node) finish(finished *task) {
 	n.mu.Lock()
-	n.queue.Finished(n.timer.Now(), finished.id)
+	if isAnswered(finished.err) {
+		n.queue.Finished(n.timer.Now(), finished.id)
+	} else {
+		n.queue.Failed(finished.id)
+	}
 	delete(n.tasks, finished.id)
 	n.mu.Unlock()
 	close(finished.done)
--- a/proxy/endpoint/queue.go
+++ b/proxy/endpoint/queue.go
@@ -13,6 +13,8 @@
 	Arrive(now time.Time, item scheduling.Item) scheduling.Decision
 	// ExpectedWait of a step that arrives now.
 	ExpectedWait(now time.Time, subject string) time.Duration
+	// Failed frees the slot of a step that the endpoint did not answer.
+	Failed(id uint64)
 	// Finished frees the slot of a step that Next returned with Run.
 	Finished(now time.Time, id uint64)
 	// Next takes a step out: Run, Expired or Idle.
--- a/proxy/endpoint/read.go
+++ b/proxy/endpoint/read.go
@@ -25,7 +25,7 @@
 		before routing.ServeInput
 		sent   time.Time
 	)
-	err := s.node.submit(ctx, h.item(s), func() error {
+	err := s.node.submit(ctx, h.item(s), h.checkRefused(s), func() error {
 		before = h.serveInput(s)
 		if _, ok := routing.ServeRead(before).(routing.ServeNow); !ok {
 			return h.refuseServing(routing.ServeRead(before))
@@ -49,6 +49,16 @@
 	}, got.rows, nil
 }
 
+// checkRefused returns the check of a read that waits in the queue.
+func (h *Home) checkRefused(s *step) func() error {
+	return func() error {
+		if refused, ok := routing.ServeRead(h.serveInput(s)).(routing.RefuseRead); ok {
+			return h.refuseServing(refused)
+		}
+		return nil
+	}
+}
+
 // awaitServing returns nil once the endpoint may serve the read.
 func (h *Home) awaitServing(ctx context.Context, s *step) error {
 	decision := routing.ServeRead(h.serveInput(s))
--- a/proxy/endpoint/transaction.go
+++ b/proxy/endpoint/transaction.go
@@ -47,7 +47,7 @@
 		turn:      make(chan struct{}, 1),
 		workspace: s.GetWorkspace(),
 	}
-	err := s.node.submit(ctx, h.item(s), func() error {
+	err := s.node.submit(ctx, h.item(s), h.checkWrite(s), func() error {
 		var err error
 		if opened.term, err = h.writableTerm(s); err != nil {
 			return err
@@ -160,7 +160,7 @@
 	}
 	sent := false
 	var got answer
-	err := t.node.submit(ctx, h.item(s), func() error {
+	err := t.node.submit(ctx, h.item(s), nil, func() error {
 		sent = true
 		var err error
 		got, err = t.connection.run(ctx, s.run(t.term))
@@ -197,7 +197,7 @@
 // transaction.
 func (h *Home) runIn(ctx context.Context, s *step, t *transaction, term uint64) (answer, error) {
 	var got answer
-	err := t.node.submit(ctx, h.item(s), func() error {
+	err := t.node.submit(ctx, h.item(s), nil, func() error {
 		var err error
 		got, err = t.connection.run(ctx, s.run(term))
 		return err
