Keep two homes of one endpoint from refusing writes, let late refusals arrive

A trace of the errors showed that the new primary itself refused them: writes that had gone to the second rank of the lost primary's home went to the second rank of the new one as well, so that two homes used the endpoint's 5 slots. The new table of refusals showed writes without an answer: the entry gave up at the very deadline at which the caller does. Change: the entry begins with the first rank at another endpoint; a home tries again while the endpoint says that it has no free slot, which is proof of not run; the entry gives up a margin (a tenth, at most 40 ms) before the deadline.

--- a/proxy/caller/dispatch.go
+++ b/proxy/caller/dispatch.go
@@ -55,6 +55,9 @@
 	d.excluded = map[string]bool{}
 	d.pause = firstPause
 	view := c.views.get(ctx, d.snapshot, d.database)
+	// Another try is given up early enough for the refusal to reach the caller.
+	waiting, cancel := timer.WithTimeout(ctx, c.config.Timer, c.timeLeft(d))
+	defer cancel()
 	for {
 		result, redirect := c.try(ctx, d, view)
 		if !d.mayRetry(result) {
@@ -65,7 +68,7 @@
 			continue
 		}
 		var ok bool
-		if view, ok = c.nextView(ctx, d); !ok {
+		if view, ok = c.nextView(waiting, d); !ok {
 			return result
 		}
 	}
@@ -144,6 +147,10 @@
 
 // sendTo forwards the step to the home of an endpoint once.
 func (c *Caller) sendTo(ctx context.Context, d *dispatch, to routing.SendTo) *peerv1.ForwardResult {
+	if to.Endpoint != d.lastEndpoint {
+		// Another endpoint has another home, of which nothing is known to be wrong.
+		d.second = false
+	}
 	vm, ok := c.home(d, to.Endpoint)
 	if !ok {
 		return peer.EncodeRefusal(refusal.NewNotRun(refusal.Unreachable, "no live VM is known"))
@@ -154,8 +161,7 @@
 
 // forward sends the step to a VM with the time that it has there.
 func (c *Caller) forward(ctx context.Context, vm string, d *dispatch) *peerv1.ForwardResult {
-	remaining := d.deadline.Sub(c.config.Timer.Now())
-	timeout := remaining - min(remaining/answerMargin, maxAnswerMargin)
+	timeout := c.timeLeft(d)
 	if ctx.Err() != nil || timeout < minTimeout {
 		return peer.EncodeRefusal(refusal.NewNotRun(refusal.DeadlineExceeded, "the deadline passed before the step was sent"))
 	}
@@ -171,6 +177,12 @@
 	return result
 }
 
+// timeLeft is the time until the deadline less a margin for the way back.
+func (c *Caller) timeLeft(d *dispatch) time.Duration {
+	remaining := d.deadline.Sub(c.config.Timer.Now())
+	return remaining - min(remaining/answerMargin, maxAnswerMargin)
+}
+
 // home returns the first or the second rank for an endpoint.
 func (c *Caller) home(d *dispatch, endpoint string) (string, bool) {
 	declared, ok := d.snapshot.Endpoint(endpoint)
--- a/proxy/endpoint/pool.go
+++ b/proxy/endpoint/pool.go
@@ -18,6 +18,10 @@
 // connection, and short enough for another try within a request's deadline.
 const openTimeout = time.Second
 
+// busyPause before another try at an endpoint without a free slot, about the time
+// of a statement.
+const busyPause = 5 * time.Millisecond
+
 // poolConfig configures a pool.
 type poolConfig struct {
 	address netip.AddrPort
@@ -204,6 +208,22 @@
 	return got, err
 }
 
+// runOn runs a step on a connection, again and again while the endpoint has no free
+// slot. A home keeps to the slots, but for a moment there may be two homes, and an
+// endpoint's refusal for want of a slot is proof of not run.
+func (p *pool) runOn(ctx context.Context, c *connection, step *endpointv1.Run) (answer, error) {
+	for {
+		got, err := c.run(ctx, step)
+		refused, ok := refusal.As(err)
+		if !ok || refused.Outcome != refusal.NotRun || refused.Reason != refusal.Overloaded {
+			return got, err
+		}
+		if timer.Sleep(ctx, p.config.timer, busyPause) != nil {
+			return got, err
+		}
+	}
+}
+
 // runKeep runs a step on a connection and returns the connection if the step is
 // done. A connection that was found broken is replaced.
 func (p *pool) runKeep(ctx context.Context, step *endpointv1.Run) (*connection, answer, error) {
@@ -212,7 +232,7 @@
 		if err != nil {
 			return nil, answer{}, err
 		}
-		got, err := c.run(ctx, step)
+		got, err := p.runOn(ctx, c, step)
 		if err == nil {
 			return c, got, nil
 		}
--- a/proxy/endpoint/transaction.go
+++ b/proxy/endpoint/transaction.go
@@ -199,7 +199,7 @@
 	var got answer
 	err := t.node.submit(ctx, h.item(s), nil, func() error {
 		var err error
-		got, err = t.connection.run(ctx, s.run(term))
+		got, err = t.node.pool.runOn(ctx, t.connection, s.run(term))
 		return err
 	})
 	if err != nil && t.connection.isBroken() {
