Name the listeners of the proxy, never take failure tests from the cache

Cause: the drain found the callers' listener by its place in a list; go test took the control tests from its cache although the proxy had changed, because the programs that they start are no inputs of the cache. Change: a struct names the three listeners; the failure tests run with -count=1.

--- a/Makefile
+++ b/Makefile
@@ -43,10 +43,11 @@
 	bin/revive -config revive.toml -set_exit_status $(PACKAGES)
 
 # The process-level failure tests run alone, because the searches of the other
-# tests would take the processors from the processes under test.
+# tests would take the processors from the processes under test, and always anew,
+# because the programs that they start are no inputs of the test cache.
 test:
 	go test -timeout 5m $$(go list $(PACKAGES) | grep -v /loadtool/faults/)
-	go test -timeout 9m -p 1 ./loadtool/faults/...
+	go test -count=1 -timeout 9m -p 1 ./loadtool/faults/...
 
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOFLAGS=-mod=mod GOWORK=off go mod tidy) || exit 1; done
--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -76,7 +76,7 @@
 		VM:    b.settings().VM,
 		Timer: b.timer,
 	})
-	for _, make := range []func() error{
+	for _, step := range []func() error{
 		b.makeStore,
 		b.makeGossip,
 		b.makeFailover,
@@ -87,7 +87,7 @@
 		b.makePeer,
 		b.makeObserve,
 	} {
-		if err := make(); err != nil {
+		if err := step(); err != nil {
 			return nil, err
 		}
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -43,6 +43,13 @@
 	traffic *peer.ConnectionTraffic
 }
 
+// servers are the listeners of the three protocols.
+type servers struct {
+	caller   *server
+	operator *server
+	peer     *server
+}
+
 // run serves until the context ends and then shuts down gracefully.
 func run(ctx context.Context, loaded *settings.Loaded) error {
 	logger, err := observe.NewLogger(observe.LoggerConfig{
@@ -58,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	servers := newServers(loaded, p)
+	listeners := newServers(loaded, p)
 	// The loops outlive the signal: they carry the drain.
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -66,23 +73,23 @@
 	for _, loop := range p.background() {
 		group.Go(func() error { return loop(child) })
 	}
-	for _, s := range servers {
+	for _, s := range listeners.all() {
 		group.Go(s.serve)
 	}
 	select {
 	case <-ctx.Done():
 	case <-p.gossip.Leaving():
 	case <-child.Done():
-		closeAll(servers)
+		listeners.close()
 		return group.Wait()
 	}
-	p.drain(loops, logger.WithName("main"), servers)
+	p.drain(loops, logger.WithName("main"), listeners.caller)
 	stop()
-	closeAll(servers)
+	listeners.close()
 	return group.Wait()
 }
 
-func newServers(loaded *settings.Loaded, p *parts) []*server {
+func newServers(loaded *settings.Loaded, p *parts) *servers {
 	s := loaded.Settings
 	callers := http.NewServeMux()
 	callers.Handle(p.caller.HTTPHandler())
@@ -92,10 +99,10 @@
 	operators.Handle(p.operator.Handler())
 	peerServer := newServer("peer", s.PeerListen, loaded.PeerServerTLS, peers)
 	peerServer.traffic = p.peerConnections
-	return []*server{
-		newServer("caller", s.CallerListen, loaded.CallerTLS, callers),
-		peerServer,
-		newServer("operator", s.OperatorListen, loaded.OperatorTLS, operators),
+	return &servers{
+		caller:   newServer("caller", s.CallerListen, loaded.CallerTLS, callers),
+		operator: newServer("operator", s.OperatorListen, loaded.OperatorTLS, operators),
+		peer:     peerServer,
 	}
 }
 
@@ -137,16 +144,20 @@
 	return nil
 }
 
-func closeAll(servers []*server) {
-	for _, s := range servers {
+func (s *servers) all() []*server {
+	return []*server{s.caller, s.operator, s.peer}
+}
+
+func (s *servers) close() {
+	for _, each := range s.all() {
 		// The process ends; nothing is left to do with an error.
-		_ = s.http.Close()
+		_ = each.http.Close()
 	}
 }
 
 // drain lets the fleet and the load balancer know, finishes what is in flight,
 // and gives the shares back.
-func (p *parts) drain(ctx context.Context, logger logr.Logger, servers []*server) {
+func (p *parts) drain(ctx context.Context, logger logr.Logger, callers *server) {
 	service := timer.NewSystem()
 	ctx, cancel := timer.WithTimeout(ctx, service, drainLimit)
 	defer cancel()
@@ -167,7 +178,7 @@
 		},
 		{
 			name: "callers",
-			do:   servers[0].http.Shutdown,
+			do:   callers.http.Shutdown,
 		},
 		{
 			name: "statements and transactions",
