Need no retry budget where no home was reached, pick ports that stay free

A demo run failed to start a process whose port an outgoing connection had taken. Change: a try that reached no home of the endpoint (home gone, or not home) needs no budget; the harness picks listening ports below the system's range for outgoing connections. Ruled out: the budget as the cause of the demo's write gap of 2.1 s after the kill of a proxy; a trace shows that its closed-loop sessions wait 2 s for writes that were in flight at the killed home, before they are unknown.

--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -279,7 +280,7 @@
 	d.certificates = certificates
 	key := make([]byte, 32)
 	// rand.Read never fails.
-	_, _ = rand.Read(key)
+	_, _ = cryptorand.Read(key)
 	text := base64.StdEncoding.EncodeToString(key) + "\n"
 	if err := os.WriteFile(d.sessionKeyFile(), []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "harness: session key")
@@ -343,17 +344,25 @@
 	return false
 }
 
+// Ports of listeners are below the range from which the system takes the ports of
+// outgoing connections, which leave from the same addresses.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
 func freePort(address netip.Addr) (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(address, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, eris.Wrapf(err, "harness: free port on %s", address)
-	}
-	defer listener.Close()
-	picked, err := netip.ParseAddrPort(listener.Addr().String())
-	if err != nil {
-		return netip.AddrPort{}, eris.Wrap(err, "harness: address")
+	var failure error
+	for range portTries {
+		picked := netip.AddrPortFrom(address, uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		listener, err := net.Listen("tcp", picked.String())
+		if err == nil {
+			return picked, listener.Close()
+		}
+		failure = err
 	}
-	return picked, nil
+	return netip.AddrPort{}, eris.Wrapf(failure, "harness: free port on %s", address)
 }
 
 func joinLines(lines ...string) string {
--- a/proxy/caller/caller_test.go
+++ b/proxy/caller/caller_test.go
@@ -107,6 +107,22 @@
 		Entry("lost read", reading, refusal.Unknown, refusal.ConnectionLost, 2),
 	)
 
+	DescribeTable("without a budget, tries again only where no home was reached",
+		// Guards against writes that wait for a lost home to be dropped, and
+		// against retries that add load to an endpoint in trouble.
+		func(reason refusal.Reason, tries int) {
+			f.caller.config.Retries = noBudget{}
+			f.home = answering(refusedWith(refusal.NotRun, reason), refusedWith(refusal.NotRun, reason), done())
+			_, err := f.execute(goodKey, newExecute(writing))
+			Expect(f.executions()).To(Equal(tries))
+			Expect(err == nil).To(Equal(tries == 3))
+		},
+		Entry("home gone", refusal.Unreachable, 3),
+		Entry("not home", refusal.NotHome, 3),
+		Entry("no primary at the home", refusal.NoPrimary, 1),
+		Entry("replication stalled", refusal.ReplicationStalled, 1),
+	)
+
 	DescribeTable("looks for a write whose home was lost, and never sends it again",
 		func(found *peerv1.ForwardResult, expected func(err error)) {
 			f.home = answering(refusedWith(refusal.Unknown, refusal.ConnectionLost), found)
@@ -296,3 +312,10 @@
 	Expect(<-ended).NotTo(HaveOccurred())
 	Eventually(drained).Should(Receive(BeNil()))
 })
+
+// noBudget allows no retry.
+type noBudget struct{}
+
+func (noBudget) Request(string) {}
+
+func (noBudget) Retry(string) bool { return false }
--- a/proxy/caller/dispatch.go
+++ b/proxy/caller/dispatch.go
@@ -44,6 +44,9 @@
 	lastEndpoint string
 	lastTerm     uint64
 	pause        time.Duration
+	// unused tells that the last try reached no home of the endpoint, so that
+	// another one adds no load to the endpoint and needs no budget.
+	unused bool
 	// second sends to the second-ranked home.
 	second bool
 	vm     string
@@ -106,7 +109,7 @@
 			continue
 		}
 		other := to.Endpoint != d.lastEndpoint || view.Term != d.lastTerm
-		if other || c.config.Retries.Retry(d.subject) {
+		if other || d.unused || c.config.Retries.Retry(d.subject) {
 			return view, true
 		}
 	}
@@ -229,6 +232,7 @@
 // run stays with its home, which knows what became of it.
 func (c *Caller) prepareRetry(d *dispatch, to routing.SendTo, result *peerv1.ForwardResult) bool {
 	refused := peer.DecodeRefusal(result)
+	d.unused = false
 	if refused == nil || refused.Outcome != refusal.NotRun {
 		return false
 	}
@@ -242,5 +246,6 @@
 	d.second = !d.second
 	// A home that answers sends its view along.
 	isGone := result.GetView() == nil
-	return isGone && d.second && d.pause == firstPause && c.config.Retries.Retry(d.subject)
+	d.unused = isGone || refused.Reason == refusal.NotHome
+	return isGone && d.second && d.pause == firstPause
 }
