--- /dev/null
+++ b/decision/placement/placement.go
@@ -0,0 +1,100 @@
+// Package placement decides at which endpoint of a database a read runs.
+package placement
+
+import (
+	"time"
+
+	"amaranthdock.dev/decision/logpos"
+)
+
+const (
+	// sameRegionTrip and otherRegionTrip are the trips there and back.
+	sameRegionTrip  = 2 * time.Millisecond
+	otherRegionTrip = 40 * time.Millisecond
+	// linkCost is the wait that a read accepts in its own region to spare the link
+	// between regions, which is billed by volume.
+	linkCost = 60 * time.Millisecond
+	// primaryCost is the wait that a read accepts at a replica to leave the slots of
+	// the primary to writes.
+	primaryCost = 15 * time.Millisecond
+	// waitHalfLife of a reported wait, about the time in which a queue turns over.
+	waitHalfLife = 100 * time.Millisecond
+	// behindPause after an endpoint lacked a position, before it is tried again for
+	// a position that is not known to be there.
+	behindPause = 150 * time.Millisecond
+)
+
+// Candidate is an endpoint as the VM of the caller knows it.
+type Candidate struct {
+	ID         string
+	DataCentre string
+	Region     string
+	Primary    bool
+	Slots      int
+	// InFlight is how many statements of this VM are at the endpoint.
+	InFlight int
+	// Service is the mean time of a statement.
+	Service time.Duration
+	// ReportedWait for a slot, ReportAge ago.
+	ReportedWait time.Duration
+	ReportAge    time.Duration
+	// Position that the endpoint is known to hold.
+	Position logpos.Position
+	// Lacked is a position that the endpoint did not hold LackedAge ago; zero if
+	// there was none.
+	Lacked    logpos.Position
+	LackedAge time.Duration
+}
+
+// Site is where the read comes from.
+type Site struct {
+	DataCentre string
+	Region     string
+}
+
+// Choose returns the candidate with the smallest cost, in time and in what it takes
+// from others, and false if none is expected to hold the required position.
+func Choose(from Site, required logpos.Position, candidates []Candidate) (string, bool) {
+	best := ""
+	var least time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		if !mayHold(c, required) {
+			continue
+		}
+		if cost := costOf(from, c); best == "" || cost < least || (cost == least && c.ID < best) {
+			best, least = c.ID, cost
+		}
+	}
+	return best, best != ""
+}
+
+// mayHold tells whether the endpoint holds the position, or may have caught up since
+// it lacked one.
+func mayHold(c *Candidate, required logpos.Position) bool {
+	if required.IsZero() || c.Position.Covers(required) {
+		return true
+	}
+	if c.Lacked.IsZero() || c.LackedAge >= behindPause {
+		return true
+	}
+	return c.Lacked.Compare(required) > 0
+}
+
+func costOf(from Site, c *Candidate) time.Duration {
+	cost := c.ReportedWait
+	for age := c.ReportAge; age >= waitHalfLife && cost > 0; age -= waitHalfLife {
+		cost /= 2
+	}
+	cost += c.Service * time.Duration(c.InFlight) / time.Duration(max(c.Slots, 1))
+	switch {
+	case c.Region != from.Region:
+		cost += otherRegionTrip + linkCost
+	case c.DataCentre != from.DataCentre:
+		cost += sameRegionTrip
+	}
+	if c.Primary {
+		cost += primaryCost
+	}
+	return cost
+}
--- /dev/null
+++ b/decision/takeover/takeover.go
@@ -0,0 +1,122 @@
+// Package takeover decides when the primary of a database is replaced, and by which
+// endpoint, where the endpoints keep their terms themselves and a promotion is
+// ordered from outside. The order takes effect at once for the old primary, and the
+// new one leads with what it has received and nothing more.
+package takeover
+
+import (
+	"time"
+
+	"amaranthdock.dev/decision/logpos"
+)
+
+const (
+	// StoreSteady is how long the store must have answered before a missing report
+	// counts: reports that lapsed during an outage are back within about 2 s.
+	StoreSteady = 2500 * time.Millisecond
+	// MissingFor is how long a database may be without a reported primary before one
+	// is promoted, so that a report on its way arrives.
+	MissingFor = 1200 * time.Millisecond
+	// OrderPause after an order, in which a promotion takes effect.
+	OrderPause = 1800 * time.Millisecond
+	// SuspicionLife is how long the word of a home counts.
+	SuspicionLife = 1500 * time.Millisecond
+)
+
+// Situation of one database, as the leader sees it.
+type Situation struct {
+	// Reported tells that the store lists an endpoint that leads.
+	Reported bool
+	// Draining tells that this endpoint is leaving.
+	Draining bool
+	// MissingFor is how long no endpoint has been reported to lead.
+	MissingFor time.Duration
+	// StoreSteady is how long the store has answered the leader.
+	StoreSteady time.Duration
+	// SuspectedFor is how long homes have said that they do not reach the primary;
+	// 0 if none does.
+	SuspectedFor time.Duration
+	// SinceOrder is the time since the last order, if Ordered.
+	SinceOrder time.Duration
+	Ordered    bool
+}
+
+// Decision is Keep, HandOver, Verify or Replace.
+type Decision interface{ decision() }
+
+// Keep leaves the primary in place.
+type Keep struct{}
+
+// HandOver replaces a primary that is leaving, without the loss of a commit.
+type HandOver struct{}
+
+// Verify asks other VMs whether they reach the primary.
+type Verify struct{}
+
+// Replace promotes another endpoint at once.
+type Replace struct{}
+
+func (Keep) decision()     {}
+func (HandOver) decision() {}
+func (Verify) decision()   {}
+func (Replace) decision()  {}
+
+// Decide returns what to do about a database's primary.
+func Decide(s Situation) Decision {
+	switch {
+	case s.Ordered && s.SinceOrder < OrderPause:
+		return Keep{}
+	case s.StoreSteady < StoreSteady:
+		// Entries of primaries that live may be missing, and an order that cannot be
+		// numbered cannot be given.
+		return Keep{}
+	case s.Reported && s.SuspectedFor > 0:
+		return Verify{}
+	case s.Reported && s.Draining:
+		return HandOver{}
+	case s.Reported:
+		return Keep{}
+	case s.MissingFor >= MissingFor:
+		return Replace{}
+	default:
+		return Keep{}
+	}
+}
+
+// Answers of the VMs that were asked to reach a primary, without the leader's own.
+type Answers struct {
+	// Leader tells whether the leader itself reached it.
+	Leader    bool
+	Reached   int
+	Unreached int
+}
+
+// Confirmed tells whether the primary counts as lost: nobody reached it, and at
+// least one other VM tried, because a leader that is cut off itself reaches nothing.
+func (a Answers) Confirmed() bool {
+	return !a.Leader && a.Reached == 0 && a.Unreached > 0
+}
+
+// Candidate is an endpoint that may be promoted.
+type Candidate struct {
+	ID       string
+	Received logpos.Position
+	// Near tells that it is in the region of the database's old primary.
+	Near bool
+}
+
+// Choose returns the candidate that has received most; the nearer one on a tie.
+func Choose(candidates []Candidate) (Candidate, bool) {
+	var best Candidate
+	found := false
+	for _, c := range candidates {
+		if found {
+			order := c.Received.Compare(best.Received)
+			if order < 0 || (order == 0 && (best.Near && !c.Near || best.Near == c.Near && best.ID < c.ID)) {
+				continue
+			}
+		}
+		best, found = c, true
+	}
+	return best, found
+}
--- /dev/null
+++ b/decision/takeover/takeover_test.go
@@ -0,0 +1,132 @@
+package takeover_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/takeover"
+)
+
+func TestTakeover(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "takeover")
+}
+
+// calm is a reported primary with a store that has answered for long.
+func calm() takeover.Situation {
+	return takeover.Situation{
+		Reported:    true,
+		StoreSteady: time.Minute,
+	}
+}
+
+// expectDecision guards against a promotion without cause, and against a database
+// that stays without a primary.
+func expectDecision(change func(*takeover.Situation), expected takeover.Decision) {
+	GinkgoHelper()
+	s := calm()
+	change(&s)
+	Expect(takeover.Decide(s)).To(Equal(expected))
+}
+
+var _ = Describe("Decide", func() {
+	DescribeTable("what happens to a primary",
+		expectDecision,
+		Entry("it is well", func(*takeover.Situation) {}, takeover.Keep{}),
+		Entry("it is leaving", func(s *takeover.Situation) { s.Draining = true }, takeover.HandOver{}),
+		Entry("a home does not reach it", func(s *takeover.Situation) { s.SuspectedFor = time.Millisecond }, takeover.Verify{}),
+		Entry("its report has just lapsed", func(s *takeover.Situation) {
+			s.Reported = false
+			s.MissingFor = takeover.MissingFor - time.Millisecond
+		}, takeover.Keep{}),
+		Entry("its report is gone for long", func(s *takeover.Situation) {
+			s.Reported = false
+			s.MissingFor = takeover.MissingFor
+		}, takeover.Replace{}),
+		Entry("its report lapsed during an outage of the store", func(s *takeover.Situation) {
+			s.Reported = false
+			s.MissingFor = time.Minute
+			s.StoreSteady = 2 * time.Second
+		}, takeover.Keep{}),
+		Entry("an order is on its way", func(s *takeover.Situation) {
+			s.Reported = false
+			s.MissingFor = time.Minute
+			s.Ordered = true
+			s.SinceOrder = takeover.OrderPause - time.Millisecond
+		}, takeover.Keep{}),
+		Entry("an order had no effect", func(s *takeover.Situation) {
+			s.Reported = false
+			s.MissingFor = time.Minute
+			s.Ordered = true
+			s.SinceOrder = takeover.OrderPause
+		}, takeover.Replace{}),
+	)
+
+	DescribeTable("a lost primary is confirmed by another VM",
+		func(answers takeover.Answers, confirmed bool) {
+			Expect(answers.Confirmed()).To(Equal(confirmed))
+		},
+		Entry("nobody reaches it", takeover.Answers{Unreached: 2}, true),
+		Entry("only the leader tried, which may be cut off", takeover.Answers{}, false),
+		Entry("another VM reaches it", takeover.Answers{
+			Reached:   1,
+			Unreached: 2,
+		}, false),
+		Entry("the leader reaches it", takeover.Answers{
+			Leader:    true,
+			Unreached: 2,
+		}, false),
+	)
+})
+
+var _ = Describe("Choose", func() {
+	position := func(index uint64) logpos.Position {
+		return logpos.Position{
+			Term:  3,
+			Index: index,
+		}
+	}
+
+	It("takes the endpoint that has received most, also when it is far", func() {
+		chosen, ok := takeover.Choose([]takeover.Candidate{
+			{
+				ID:       "near",
+				Received: position(10),
+				Near:     true,
+			},
+			{
+				ID:       "far",
+				Received: position(11),
+			},
+		})
+		Expect(ok).To(BeTrue())
+		Expect(chosen.ID).To(Equal("far"))
+	})
+
+	It("takes the nearer one of two that have received the same", func() {
+		for _, first := range []string{"a", "z"} {
+			chosen, ok := takeover.Choose([]takeover.Candidate{
+				{
+					ID:       first,
+					Received: position(10),
+				},
+				{
+					ID:       "m",
+					Received: position(10),
+					Near:     true,
+				},
+			})
+			Expect(ok).To(BeTrue())
+			Expect(chosen.ID).To(Equal("m"))
+		}
+	})
+
+	It("finds none among none", func() {
+		_, ok := takeover.Choose(nil)
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/engine/caller/connections.go
@@ -0,0 +1,127 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthdock.dev/timer"
+)
+
+// Connection is a caller's open connection.
+type Connection interface {
+	// Interrupt ends the wait for a caller's next request, if there is one, so that
+	// the connection looks whether its VM is leaving.
+	Interrupt()
+	// Close ends the connection at once.
+	Close()
+}
+
+// Connections are the open connections of callers.
+type Connections struct {
+	timer timer.Service
+
+	mu      sync.Mutex
+	open    map[Connection]struct{}
+	leaving bool
+	// ending marks the idle connections that are to be closed now.
+	ending map[Connection]struct{}
+}
+
+// NewConnections returns an empty set.
+func NewConnections(service timer.Service) *Connections {
+	return &Connections{
+		timer:  service,
+		open:   map[Connection]struct{}{},
+		ending: map[Connection]struct{}{},
+	}
+}
+
+// Add records a connection.
+func (c *Connections) Add(connection Connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[connection] = struct{}{}
+}
+
+// Remove forgets a connection.
+func (c *Connections) Remove(connection Connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, connection)
+	delete(c.ending, connection)
+}
+
+// Ending tells a connection whether it should be closed as soon as its session is
+// idle.
+func (c *Connections) Ending(connection Connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ending := c.ending[connection]
+	return ending
+}
+
+// Open returns how many connections are open.
+func (c *Connections) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// leaveSteps in which idle connections are closed, so that not all callers connect
+// anew at one moment.
+const leaveSteps = 20
+
+// Leave ends the connections one after the other over the given time, each once its
+// session is idle, and returns when none is open or the context ends.
+func (c *Connections) Leave(ctx context.Context, over time.Duration) {
+	c.mu.Lock()
+	waiting := make([]Connection, 0, len(c.open))
+	for connection := range c.open {
+		waiting = append(waiting, connection)
+	}
+	c.mu.Unlock()
+	size := max((len(waiting)+leaveSteps-1)/leaveSteps, 1)
+	for c.Open() > 0 && ctx.Err() == nil {
+		batch := waiting[:min(size, len(waiting))]
+		waiting = waiting[len(batch):]
+		if len(batch) == 0 {
+			// Connections that were accepted since.
+			c.mu.Lock()
+			for connection := range c.open {
+				batch = append(batch, connection)
+			}
+			c.mu.Unlock()
+		}
+		c.end(batch)
+		if err := timer.Sleep(ctx, c.timer, over/leaveSteps); err != nil {
+			return
+		}
+	}
+}
+
+func (c *Connections) end(batch []Connection) {
+	c.mu.Lock()
+	for _, connection := range batch {
+		if _, ok := c.open[connection]; ok {
+			c.ending[connection] = struct{}{}
+		}
+	}
+	c.mu.Unlock()
+	for _, connection := range batch {
+		connection.Interrupt()
+	}
+}
+
+// CloseAll ends what is still open.
+func (c *Connections) CloseAll() {
+	c.mu.Lock()
+	open := make([]Connection, 0, len(c.open))
+	for connection := range c.open {
+		open = append(open, connection)
+	}
+	c.mu.Unlock()
+	for _, connection := range open {
+		connection.Close()
+	}
+}
--- /dev/null
+++ b/engine/caller/session.go
@@ -0,0 +1,277 @@
+// Package caller holds the sessions of callers: their values, prepared statements,
+// transactions and positions. It decides where each statement runs, and answers in
+// the place of an endpoint what needs none.
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/statement"
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+// Home runs statements at endpoints that this VM is home of.
+type Home interface {
+	// Run never returns nil.
+	Run(ctx context.Context, request *peer.Run) *peer.Ran
+}
+
+// Links call other VMs.
+type Links interface {
+	// Call has the contract of peer.Links.Call.
+	Call(ctx context.Context, vm catalog.VM, method string, arguments, answer any, timeout time.Duration) error
+}
+
+// Limits admits operations.
+type Limits interface {
+	// Admit returns a *refusal.Error, as not run, beyond the workspace's limit.
+	Admit(ctx context.Context, workspace string) error
+}
+
+// Config configures Sessions.
+type Config struct {
+	View     *view.View
+	Home     Home
+	Links    Links
+	Limits   Limits
+	Timer    timer.Service
+	Log      logr.Logger
+	Registry metrics.Registry
+}
+
+// Sessions opens sessions.
+type Sessions struct {
+	config    Config
+	outcomes  *outcomes
+	sampling  sampling
+	sequences sequences
+}
+
+// New returns Sessions.
+func New(config Config) *Sessions {
+	return &Sessions{
+		config:   config,
+		outcomes: newOutcomes(config.Registry),
+	}
+}
+
+// Session is the state of one caller's connection. Its methods are called one at a
+// time.
+type Session struct {
+	sessions *Sessions
+	host     string
+	key      string
+
+	values   map[string]string
+	prepared map[string]statement.Prepared
+	// position covers each commit that was acknowledged to this session.
+	position    logpos.Position
+	transaction *transaction
+}
+
+// transaction is open for the caller. It is opened at an endpoint with its first
+// statement.
+type transaction struct {
+	readOnly bool
+	failed   bool
+	// placed is set once the transaction is open at an endpoint.
+	placed    bool
+	key       peer.TransactionKey
+	endpoint  catalog.Endpoint
+	home      catalog.VM
+	wrote     bool
+	admission admission
+	// required is the position that the reads of the transaction see at least.
+	required logpos.Position
+}
+
+// Open returns a session, or why it is refused.
+func (s *Sessions) Open(host, key string) (*Session, *refusal.Error) {
+	opened := &Session{
+		sessions: s,
+		host:     host,
+		key:      key,
+	}
+	if _, refused := opened.authorize(); refused != nil {
+		s.config.Log.V(1).Info("Refused a session.", "host", host, "reason", refused.Reason)
+		return nil, refused
+	}
+	return opened, nil
+}
+
+// InTransaction tells whether the caller has a transaction open.
+func (s *Session) InTransaction() bool { return s.transaction != nil }
+
+// Close ends the session and rolls back its transaction.
+func (s *Session) Close() {
+	if s.transaction != nil {
+		s.abandon()
+	}
+}
+
+// Do runs a request and returns its whole answer.
+func (s *Session) Do(ctx context.Context, request statement.Request) statement.Answer {
+	if t := s.transaction; t != nil && t.failed {
+		return s.inFailed(request)
+	}
+	switch st := request.Statement.(type) {
+	case statement.Begin:
+		return s.begin(st)
+	case statement.Commit:
+		return s.commit(ctx, request)
+	case statement.Rollback:
+		if s.transaction == nil {
+			return s.refuse(refusal.NewNotRun(refusal.InvalidRequest, "no transaction is open"))
+		}
+		s.abandon()
+		return s.answer(statement.Answer{})
+	case statement.Read:
+		return s.run(ctx, request, work{text: request.Text})
+	case statement.Write:
+		return s.run(ctx, request, work{
+			text:  request.Text,
+			write: true,
+		})
+	case statement.Execute:
+		return s.execute(ctx, request, st)
+	case statement.Set:
+		if s.values == nil {
+			s.values = map[string]string{}
+		}
+		s.values[st.Name] = st.Value
+		return s.answer(statement.Answer{})
+	case statement.Prepare:
+		if s.prepared == nil {
+			s.prepared = map[string]statement.Prepared{}
+		}
+		s.prepared[st.Name] = st.Prepared
+		return s.answer(statement.Answer{})
+	case statement.Deallocate:
+		delete(s.prepared, st.Name)
+		return s.answer(statement.Answer{})
+	case statement.Malformed:
+		return s.refuse(refusal.NewNotRun(refusal.InvalidRequest, st.Problem))
+	default:
+		return s.refuse(refusal.NewNotRun(refusal.InvalidRequest, "the statement is unknown"))
+	}
+}
+
+// work is a statement for an endpoint.
+type work struct {
+	text     string
+	write    bool
+	prepared *statement.Prepared
+}
+
+func (s *Session) execute(ctx context.Context, request statement.Request, e statement.Execute) statement.Answer {
+	prepared, ok := s.prepared[e.Name]
+	if !ok {
+		return s.refuse(&refusal.Error{
+			Outcome: refusal.NotRun,
+			Reason:  refusal.InvalidRequest,
+			Field:   e.Name,
+			Message: "no statement is prepared under this name",
+		})
+	}
+	return s.run(ctx, request, work{
+		text:     e.Arguments,
+		write:    prepared.Write,
+		prepared: &prepared,
+	})
+}
+
+func (s *Session) begin(b statement.Begin) statement.Answer {
+	if s.transaction != nil {
+		return s.refuse(refusal.NewNotRun(refusal.InvalidRequest, "a transaction is open"))
+	}
+	admitted, refused := s.authorize()
+	if refused != nil {
+		return s.refuse(refused)
+	}
+	s.transaction = &transaction{
+		readOnly:  b.ReadOnly,
+		admission: admitted,
+	}
+	return s.answer(statement.Answer{})
+}
+
+// inFailed answers while the transaction can only be rolled back.
+func (s *Session) inFailed(request statement.Request) statement.Answer {
+	switch request.Statement.(type) {
+	case statement.Rollback:
+		s.abandon()
+		return s.answer(statement.Answer{})
+	case statement.Commit:
+		s.abandon()
+		return s.refuse(refusal.NewNotRun(refusal.TransactionConflict, "the transaction had failed and was rolled back"))
+	default:
+		return s.refuse(refusal.NewNotRun(refusal.InvalidRequest, "the transaction has failed; it can only be rolled back"))
+	}
+}
+
+// answer completes an answer with the session's state.
+func (s *Session) answer(a statement.Answer) statement.Answer {
+	switch {
+	case s.transaction == nil:
+		a.State = statement.Idle
+	case s.transaction.failed:
+		a.State = statement.Failed
+	default:
+		a.State = statement.InTransaction
+	}
+	return a
+}
+
+// refuse answers with a refusal, which fails an open transaction.
+func (s *Session) refuse(refused *refusal.Error) statement.Answer {
+	if s.transaction != nil {
+		s.transaction.failed = true
+	}
+	return s.answer(statement.Answer{Refused: refused})
+}
+
+// admission is what the configuration allows an operation.
+type admission struct {
+	route     catalog.Route
+	database  catalog.Database
+	workspace string
+	idle      time.Duration
+	version   uint64
+}
+
+// publicWorkspace is the name under which endpoints see callers of public routes.
+const publicWorkspace = "-"
+
+// authorize looks the session's host and key up in the newest configuration.
+func (s *Session) authorize() (admission, *refusal.Error) {
+	c := s.sessions.config.View.Configuration()
+	if c == nil {
+		return admission{}, refusal.NewNotRun(refusal.NotReady, "this VM has no configuration yet")
+	}
+	route, ok := c.Routes[s.host]
+	if !ok {
+		return admission{}, refusal.NewNotRun(refusal.NotAllowed, "no route leads to this name")
+	}
+	workspace := publicWorkspace
+	if !route.Public {
+		if workspace, ok = c.WorkspaceByKey[s.key]; !ok {
+			return admission{}, refusal.NewNotRun(refusal.KeyUnknown, "the key is unknown")
+		}
+	}
+	return admission{
+		route:     route,
+		database:  c.Databases[route.Database],
+		workspace: workspace,
+		idle:      c.TransactionIdle,
+		version:   c.Version,
+	}, nil
+}
--- /dev/null
+++ b/engine/endpoint/ask.go
@@ -0,0 +1,41 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// askTimeout for the report of an endpoint, long enough for a slot of a busy one.
+	askTimeout = 600 * time.Millisecond
+	// controlWorkspace under which connections without a caller are opened.
+	controlWorkspace = "-"
+)
+
+// Ask runs one of Status, Pause, Resume and StepDown at an endpoint, on a connection
+// of its own, because it must work when all others are in use or have gone silent.
+func (h *Home) Ask(ctx context.Context, target catalog.Endpoint, command Command) (*Report, error) {
+	child, cancel := timer.WithTimeout(ctx, h.config.Timer, askTimeout)
+	defer cancel()
+	c, err := h.config.Dialer.Dial(child, target, controlWorkspace)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	replies, err := c.Run(askTimeout, []Command{command})
+	if err != nil {
+		return nil, err
+	}
+	if problem := replies[0].Problem; problem != nil {
+		return nil, problem
+	}
+	if replies[0].Report == nil {
+		return nil, eris.Errorf("endpoint %s answered without a report", target.Key.ID)
+	}
+	return replies[0].Report, nil
+}
--- /dev/null
+++ b/engine/endpoint/node.go
@@ -0,0 +1,255 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/scheduling"
+	"amaranthdock.dev/decision/staleness"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+)
+
+const (
+	// defaultSlots for an endpoint that reports none.
+	defaultSlots = 5
+	// slotMargin is one statement more than there are slots, so that the endpoint
+	// does not stand idle for the trip between two statements.
+	slotMargin = 1
+	// maxWait for a slot, above which statements are refused as overloaded.
+	maxWait = 500 * time.Millisecond
+	// initialCost of a statement, before the first measurement.
+	initialCost = 30 * time.Millisecond
+	// unansweredInterval between two calls of Unanswered for one endpoint.
+	unansweredInterval = 200 * time.Millisecond
+)
+
+// node is one endpoint, as its home sees it.
+type node struct {
+	config *Config
+	target catalog.Endpoint
+
+	mu           sync.Mutex
+	queue        *scheduling.Queue
+	waiters      map[uint64]chan error
+	nextItem     uint64
+	idle         []*pooled
+	open         int
+	limit        int
+	pinned       int
+	pinWaiters   []chan struct{}
+	tooManyUntil time.Time
+	closed       bool
+	lastUsed     time.Time
+	failing      bool
+	failedAt     time.Time
+	reportedAt   time.Time
+	sample       staleness.Sample
+}
+
+func newNode(config *Config, target catalog.Endpoint) *node {
+	slots := target.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return &node{
+		config: config,
+		target: target,
+		queue: scheduling.New(scheduling.Config{
+			Slots:       slots + slotMargin,
+			MaxWait:     maxWait,
+			InitialCost: initialCost,
+		}),
+		waiters: map[uint64]chan error{},
+	}
+}
+
+// inSlot waits for a slot and calls run while it holds it. Run returns whether the
+// endpoint answered, so that its time says something of the service time.
+func (n *node) inSlot(ctx context.Context, request *peer.Run, deadline time.Time, run func() bool) error {
+	item, admitted, err := n.arrive(request, deadline)
+	if err != nil {
+		return err
+	}
+	if err := n.await(ctx, item, admitted, deadline); err != nil {
+		return err
+	}
+	answered := run()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if answered {
+		n.queue.Finished(n.config.Timer.Now(), item)
+	} else {
+		n.queue.Failed(item)
+	}
+	n.pump()
+	return nil
+}
+
+func (n *node) arrive(request *peer.Run, deadline time.Time) (uint64, chan error, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.config.Timer.Now()
+	n.lastUsed = now
+	n.nextItem++
+	decided := n.queue.Arrive(now, scheduling.Item{
+		ID:          n.nextItem,
+		Subject:     request.Workspace,
+		Worth:       1,
+		Arrived:     now,
+		Deadline:    deadline,
+		Transaction: request.Step == peer.Next || request.Step == peer.CommitStep,
+	})
+	if refused, ok := decided.(scheduling.Refused); ok {
+		return 0, nil, &refusal.Error{
+			Outcome:    refusal.NotRun,
+			Reason:     refused.Reason,
+			Message:    "the endpoint's queue is too long for the statement's time",
+			RetryAfter: refused.RetryAfter,
+		}
+	}
+	admitted := make(chan error, 1)
+	n.waiters[n.nextItem] = admitted
+	item := n.nextItem
+	n.pump()
+	return item, admitted, nil
+}
+
+// await waits until the queue starts or drops the item.
+func (n *node) await(ctx context.Context, item uint64, admitted chan error, deadline time.Time) error {
+	select {
+	case err := <-admitted:
+		return err
+	default:
+	}
+	timeout := n.config.Timer.After(deadline.Sub(n.config.Timer.Now()))
+	defer timeout.Stop()
+	select {
+	case err := <-admitted:
+		return err
+	case <-timeout.C():
+	case <-ctx.Done():
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.queue.Remove(item) {
+		delete(n.waiters, item)
+		return refusal.NewNotRun(refusal.QueueTimeout, "no slot of the endpoint was free in time")
+	}
+	// The queue started or dropped the item at the same moment.
+	return <-admitted
+}
+
+// pump starts and drops items. The caller holds the lock.
+func (n *node) pump() {
+	for {
+		switch decided := n.queue.Next(n.config.Timer.Now()).(type) {
+		case scheduling.Run:
+			n.wake(decided.Item.ID, nil)
+		case scheduling.Expired:
+			n.wake(decided.Item.ID, refusal.NewNotRun(refusal.QueueTimeout, "no slot of the endpoint was free in time"))
+		default:
+			return
+		}
+	}
+}
+
+func (n *node) wake(item uint64, err error) {
+	n.waiters[item] <- err
+	delete(n.waiters, item)
+}
+
+// pin waits for the right to hold a connection for a transaction. Transactions leave
+// a connection for each slot, so that single statements always find one.
+func (n *node) pin(ctx context.Context, deadline time.Time) error {
+	n.mu.Lock()
+	if n.pinned < n.pinLimit() {
+		n.pinned++
+		n.mu.Unlock()
+		return nil
+	}
+	granted := make(chan struct{}, 1)
+	n.pinWaiters = append(n.pinWaiters, granted)
+	n.mu.Unlock()
+	timeout := n.config.Timer.After(deadline.Sub(n.config.Timer.Now()))
+	defer timeout.Stop()
+	select {
+	case <-granted:
+		return nil
+	case <-timeout.C():
+	case <-ctx.Done():
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, waiting := range n.pinWaiters {
+		if waiting == granted {
+			n.pinWaiters = append(n.pinWaiters[:i], n.pinWaiters[i+1:]...)
+			return refusal.NewNotRun(refusal.Overloaded, "transactions hold all connections to the endpoint")
+		}
+	}
+	return nil
+}
+
+func (n *node) unpin() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.pinWaiters) > 0 && n.pinned <= n.pinLimit() {
+		n.pinWaiters[0] <- struct{}{}
+		n.pinWaiters = n.pinWaiters[1:]
+		return
+	}
+	n.pinned--
+}
+
+func (n *node) pinLimit() int {
+	slots := n.target.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return max(n.limit-slots-slotMargin, 1)
+}
+
+// setLimit of the connections that this home may hold.
+func (n *node) setLimit(limit int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limit = max(limit, 1)
+}
+
+// expectedWait for a slot, for a workspace.
+func (n *node) expectedWait(workspace string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.queue.ExpectedWait(n.config.Timer.Now(), workspace)
+}
+
+func (n *node) answered() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failing {
+		n.failing = false
+		n.config.Log.Info("The endpoint answers again.", "endpoint", n.target.Key.ID, "database", n.target.Database)
+	}
+}
+
+// unanswered records a missing answer, and tells it on.
+func (n *node) unanswered() {
+	n.mu.Lock()
+	now := n.config.Timer.Now()
+	first := !n.failing
+	n.failedAt = now
+	n.failing = true
+	due := now.Sub(n.reportedAt) >= unansweredInterval
+	if due {
+		n.reportedAt = now
+	}
+	n.mu.Unlock()
+	if first {
+		n.config.Log.Info("The endpoint does not answer.", "endpoint", n.target.Key.ID, "database", n.target.Database)
+	}
+	if due && n.config.Unanswered != nil {
+		n.config.Unanswered(n.target)
+	}
+}
--- /dev/null
+++ b/engine/endpoint/pool.go
@@ -0,0 +1,232 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/statement"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// dialTimeout is far above the 27 ms that the slowest endpoints need for a new
+	// connection, and short enough for another try within a statement's time.
+	dialTimeout = 500 * time.Millisecond
+	// maxPreparedNames on one connection, after which it is cleared before its next
+	// use outside of a transaction.
+	maxPreparedNames = 128
+	// failedPause after a failure, in which no connection is opened, so that waiting
+	// statements do not each wait for an endpoint that is gone.
+	failedPause = 100 * time.Millisecond
+	// tooManyPause without new connections after an endpoint reported its limit. The
+	// connections of a VM that is gone are dropped within 3 s.
+	tooManyPause = 300 * time.Millisecond
+)
+
+// pooled is a connection with what it holds.
+type pooled struct {
+	Connection
+	workspace string
+	values    map[string]string
+	names     map[statement.Prepared]string
+	nextName  int
+}
+
+// matching returns the commands that give the connection the session's values and
+// the prepared statement, and the statement's name on this connection. The
+// connection counts as changed from now on, so it must be closed if one fails.
+func (p *pooled) matching(values map[string]string, prepared *statement.Prepared, inTransaction bool) ([]Command, string) {
+	var commands []Command
+	if !inTransaction && (p.holdsOther(values) || len(p.names) >= maxPreparedNames) {
+		commands = append(commands, Discard{})
+		p.values = nil
+		p.names = nil
+	}
+	for name, value := range values {
+		if held, ok := p.values[name]; ok && held == value {
+			continue
+		}
+		if p.values == nil {
+			p.values = map[string]string{}
+		}
+		p.values[name] = value
+		commands = append(commands, Set{
+			Name:  name,
+			Value: value,
+		})
+	}
+	if prepared == nil {
+		return commands, ""
+	}
+	name, ok := p.names[*prepared]
+	if !ok {
+		if p.names == nil {
+			p.names = map[statement.Prepared]string{}
+		}
+		p.nextName++
+		name = "s" + strconv.Itoa(p.nextName)
+		p.names[*prepared] = name
+		commands = append(commands, Prepare{
+			Name:     name,
+			Prepared: *prepared,
+		})
+	}
+	return commands, name
+}
+
+// holdsOther tells whether the connection holds a value that the session has not set.
+func (p *pooled) holdsOther(values map[string]string) bool {
+	for name := range p.values {
+		if _, ok := values[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// connection returns an idle connection of the workspace, or a new one. Its caller
+// holds a slot, and transactions leave as many connections as there are slots.
+func (n *node) connection(ctx context.Context, workspace string) (*pooled, error) {
+	n.mu.Lock()
+	if found := n.takeIdle(workspace); found != nil {
+		n.mu.Unlock()
+		return found, nil
+	}
+	now := n.config.Timer.Now()
+	var evicted *pooled
+	switch {
+	case n.failing && now.Sub(n.failedAt) < failedPause:
+		n.mu.Unlock()
+		return nil, refusal.NewNotRun(refusal.Unreachable, "the endpoint did not answer a moment ago")
+	case now.Before(n.tooManyUntil):
+		n.mu.Unlock()
+		return nil, &refusal.Error{
+			Outcome:    refusal.NotRun,
+			Reason:     refusal.Overloaded,
+			Message:    "the endpoint is at its limit of connections",
+			RetryAfter: n.tooManyUntil.Sub(now),
+		}
+	case n.open < n.limit:
+		n.open++
+	case len(n.idle) > 0:
+		evicted = n.idle[0]
+		n.idle = n.idle[1:]
+	default:
+		n.mu.Unlock()
+		return nil, refusal.NewNotRun(refusal.Overloaded, "all connections to the endpoint are in use")
+	}
+	n.mu.Unlock()
+	if evicted != nil {
+		evicted.Close()
+	}
+	return n.dial(ctx, workspace)
+}
+
+// dial opens a connection that is already counted.
+func (n *node) dial(ctx context.Context, workspace string) (*pooled, error) {
+	child, cancel := timer.WithTimeout(ctx, n.config.Timer, dialTimeout)
+	defer cancel()
+	opened, err := n.config.Dialer.Dial(child, n.target, workspace)
+	if err == nil {
+		n.answered()
+		n.config.Metrics.connectionsOpened.Inc(1)
+		return &pooled{
+			Connection: opened,
+			workspace:  workspace,
+		}, nil
+	}
+	n.mu.Lock()
+	n.open--
+	n.mu.Unlock()
+	var refused *ReplyError
+	if !errors.As(err, &refused) {
+		n.unanswered()
+		return nil, refusal.NewNotRun(refusal.Unreachable, "no connection to the endpoint: "+err.Error())
+	}
+	n.answered()
+	if refused.Code == TooManyConnections {
+		n.mu.Lock()
+		n.tooManyUntil = n.config.Timer.Now().Add(tooManyPause)
+		n.mu.Unlock()
+	}
+	return nil, refusedBy(refused)
+}
+
+// takeIdle returns the idle connection of the workspace that was used last.
+func (n *node) takeIdle(workspace string) *pooled {
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		candidate := n.idle[i]
+		if candidate.workspace != workspace {
+			continue
+		}
+		n.idle = append(n.idle[:i], n.idle[i+1:]...)
+		if !candidate.Broken() {
+			return candidate
+		}
+		candidate.Close()
+		n.open--
+	}
+	return nil
+}
+
+// put takes a connection back, and closes it unless it can be used again.
+func (n *node) put(c *pooled, reusable bool) {
+	n.mu.Lock()
+	keep := reusable && !n.closed && n.open <= n.limit
+	if keep {
+		n.idle = append(n.idle, c)
+	} else {
+		n.open--
+	}
+	n.mu.Unlock()
+	if !keep {
+		c.Close()
+	}
+}
+
+// closeIdle closes the connections that no statement uses.
+func (n *node) closeIdle() {
+	n.mu.Lock()
+	idle := n.idle
+	n.idle = nil
+	n.open -= len(idle)
+	n.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// refusedBy translates an endpoint's refusal.
+func refusedBy(e *ReplyError) *refusal.Error {
+	outcome := refusal.Unknown
+	if e.NotRun() {
+		outcome = refusal.NotRun
+	}
+	reason := refusal.StatementFailed
+	switch e.Code {
+	case Busy, TooManyConnections:
+		reason = refusal.Overloaded
+	case Behind:
+		reason = refusal.ReplicaBehind
+	case NotPrimary:
+		reason = refusal.NotPrimary
+	case WrongEndpoint:
+		reason = refusal.Unreachable
+	case Aborted:
+		outcome = refusal.NotRun
+		reason = refusal.TransactionConflict
+	case Rejected, NoSuchName:
+		reason = refusal.InvalidRequest
+	case TimedOut:
+		reason = refusal.DeadlineExceeded
+	case CodeUnknown, FailedRun:
+	}
+	return &refusal.Error{
+		Outcome: outcome,
+		Reason:  reason,
+		Message: e.Text,
+	}
+}
--- /dev/null
+++ b/engine/failover/failover.go
@@ -0,0 +1,294 @@
+// Package failover orders the promotion of a new primary where one is gone, cannot
+// be reached, or is leaving. Only the VM that holds the lease does so, and each order
+// has a higher number than all before.
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/decision/takeover"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/endpoint"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/store"
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// tick between two looks at the databases.
+	tick = 150 * time.Millisecond
+	// verifyPause between two verifications of one primary.
+	verifyPause = 400 * time.Millisecond
+	// verifiers are asked at most, besides the leader.
+	verifiers = 3
+	// askTimeout for an endpoint's report, long enough for a slot of a busy one.
+	askTimeout = 600 * time.Millisecond
+	// confirmTimeout for the answer of a VM that tries an endpoint.
+	confirmTimeout = askTimeout + 200*time.Millisecond
+)
+
+// Orders promotes endpoints.
+type Orders interface {
+	// Promote orders an endpoint to lead its database. An order without an answer may
+	// still be carried out, unless one with a higher number was.
+	Promote(ctx context.Context, database, id, holder string, number uint64) error
+}
+
+// Prober asks endpoints for their reports.
+type Prober interface {
+	// Ask runs one of Status, Pause, Resume and StepDown at an endpoint.
+	Ask(ctx context.Context, target catalog.Endpoint, command endpoint.Command) (*endpoint.Report, error)
+}
+
+// Contact tells how the store answers this VM.
+type Contact interface {
+	Reached() bool
+	SteadyFor() time.Duration
+	Poll()
+}
+
+// Config configures a Part.
+type Config struct {
+	View     *view.View
+	Store    store.Store
+	Contact  Contact
+	Links    *peer.Links
+	Prober   Prober
+	Orders   Orders
+	Timer    timer.Service
+	Log      logr.Logger
+	Registry metrics.Registry
+}
+
+// Part looks after the primaries while this VM leads, and passes suspicions on while
+// another does.
+type Part struct {
+	config Config
+	orders metrics.Counter
+
+	mu        sync.Mutex
+	lead      lead
+	databases map[string]*database
+}
+
+// database is what the leader remembers of one database.
+type database struct {
+	busy bool
+	// The times are readings of the clock that goes on while the VM is suspended; 0
+	// for never.
+	missingSince   time.Duration
+	suspectedSince time.Duration
+	suspectedAt    time.Duration
+	suspect        catalog.EndpointKey
+	verifyAfter    time.Duration
+	orderedAt      time.Duration
+	lastPrimary    catalog.Endpoint
+}
+
+// New returns a Part that does nothing yet.
+func New(config Config) *Part {
+	return &Part{
+		config:    config,
+		orders:    metrics.GetOrRegisterCounter("failover.orders", config.Registry),
+		databases: map[string]*database{},
+	}
+}
+
+// Unanswered takes this VM's own word that it does not reach an endpoint, and passes
+// it on to the leader if the endpoint leads its database.
+func (p *Part) Unanswered(target catalog.Endpoint) {
+	primary, ok := p.config.View.Primary(target.Database)
+	if !ok || primary.Key != target.Key {
+		return
+	}
+	p.Suspect(target)
+	vms := p.config.View.VMs()
+	leader, ok := vms.ByName[vms.Leader]
+	if !ok || leader.Name == p.config.View.Self().Name {
+		return
+	}
+	go func() {
+		request := &peer.Suspicion{
+			From:   p.config.View.Self().Name,
+			Target: target,
+		}
+		if err := p.config.Links.Call(context.Background(), leader, "Suspect", request, &peer.Nothing{}, confirmTimeout); err != nil {
+			p.config.Log.Info("The leader could not be told of a lost endpoint.", "peer", leader.Name, "endpoint", target.Key.ID, "error", err.Error())
+		}
+	}()
+}
+
+// Suspect records that a home does not reach a primary.
+func (p *Part) Suspect(target catalog.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.database(target.Database)
+	now := p.config.Timer.Boot()
+	if d.suspect != target.Key || now-d.suspectedAt > takeover.SuspicionLife {
+		d.suspect = target.Key
+		d.suspectedSince = now
+	}
+	d.suspectedAt = now
+}
+
+// Confirm tries to reach an endpoint for another VM.
+func (p *Part) Confirm(ctx context.Context, target catalog.Endpoint) bool {
+	return p.reaches(ctx, target)
+}
+
+// Promoted takes the leader's word of a promotion.
+func (p *Part) Promoted(promotion *peer.Promotion) {
+	p.config.View.Promoted(promotion.Database, promotion.Endpoint, promotion.Leads)
+}
+
+// Run looks after the databases until the context ends.
+func (p *Part) Run(ctx context.Context) {
+	ticks := p.config.Timer.Every(tick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C():
+		case <-ctx.Done():
+			return
+		}
+		configuration := p.config.View.Configuration()
+		if configuration == nil || !p.Leads() {
+			continue
+		}
+		for name := range configuration.Databases {
+			p.attend(ctx, name)
+		}
+	}
+}
+
+// attend decides about one database.
+func (p *Part) attend(ctx context.Context, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.database(name)
+	if d.busy {
+		return
+	}
+	primary, reported := p.reported(name)
+	now := p.config.Timer.Boot()
+	switch {
+	case reported:
+		d.missingSince = 0
+		d.lastPrimary = primary
+	case d.missingSince == 0:
+		d.missingSince = now
+		p.config.Contact.Poll()
+	}
+	situation := takeover.Situation{
+		Reported:    reported,
+		Draining:    primary.Draining,
+		StoreSteady: p.config.Contact.SteadyFor(),
+		Ordered:     d.orderedAt != 0,
+		SinceOrder:  now - d.orderedAt,
+	}
+	if d.missingSince != 0 {
+		situation.MissingFor = now - d.missingSince
+	}
+	if reported && d.suspect == primary.Key && now-d.suspectedAt < takeover.SuspicionLife && now >= d.verifyAfter {
+		situation.SuspectedFor = max(now-d.suspectedSince, 1)
+	}
+	switch takeover.Decide(situation).(type) {
+	case takeover.Verify:
+		p.start(d, func() { p.verify(ctx, name, primary) })
+	case takeover.HandOver:
+		p.start(d, func() { p.handOver(ctx, name, primary) })
+	case takeover.Replace:
+		p.start(d, func() { p.replace(ctx, name, d.lastPrimary, "no primary is reported") })
+	}
+}
+
+// start runs one thing at a time for a database. The caller holds the lock.
+func (p *Part) start(d *database, run func()) {
+	d.busy = true
+	go func() {
+		run()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		d.busy = false
+	}()
+}
+
+// reported returns the endpoint that is believed to lead, if it is a member still.
+func (p *Part) reported(name string) (catalog.Endpoint, bool) {
+	return p.config.View.Primary(name)
+}
+
+// database returns what is remembered. The caller holds the lock.
+func (p *Part) database(name string) *database {
+	d, ok := p.databases[name]
+	if !ok {
+		d = &database{}
+		p.databases[name] = d
+	}
+	return d
+}
+
+// verify replaces a primary that neither this VM nor another one reaches.
+func (p *Part) verify(ctx context.Context, name string, primary catalog.Endpoint) {
+	answers := p.ask(ctx, primary)
+	p.config.Log.Info("Verified a suspected primary.", "database", name, "endpoint", primary.Key.ID, "leaderReached", answers.Leader,
+		"reached", answers.Reached, "unreached", answers.Unreached)
+	if answers.Confirmed() {
+		p.replace(ctx, name, primary, "nobody reaches the primary")
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.database(name).verifyAfter = p.config.Timer.Boot() + verifyPause
+}
+
+// ask tries the primary from this VM and from some others.
+func (p *Part) ask(ctx context.Context, primary catalog.Endpoint) takeover.Answers {
+	peers := p.config.View.Homes(primary)
+	type word struct{ asked, reached bool }
+	words := make(chan word, verifiers)
+	asked := 0
+	for _, vm := range peers {
+		if vm.Name == p.config.View.Self().Name || asked == verifiers {
+			continue
+		}
+		asked++
+		go func() {
+			var answer peer.SuspicionReply
+			request := &peer.Suspicion{
+				From:   p.config.View.Self().Name,
+				Target: primary,
+			}
+			err := p.config.Links.Call(ctx, vm, "Confirm", request, &answer, confirmTimeout)
+			words <- word{
+				asked:   err == nil,
+				reached: answer.Reached,
+			}
+		}()
+	}
+	answers := takeover.Answers{Leader: p.reaches(ctx, primary)}
+	for range asked {
+		switch w := <-words; {
+		case w.reached:
+			answers.Reached++
+		case w.asked:
+			answers.Unreached++
+		}
+	}
+	return answers
+}
+
+// reaches tells whether an endpoint answers this VM at all.
+func (p *Part) reaches(ctx context.Context, target catalog.Endpoint) bool {
+	_, err := p.config.Prober.Ask(ctx, target, endpoint.Status{})
+	if err == nil {
+		return true
+	}
+	return isRefusal(err)
+}
--- /dev/null
+++ b/engine/failover/leader.go
@@ -0,0 +1,152 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/engine/store"
+)
+
+const (
+	// leaseLife of the leader. Another VM leads at most this much, and one poll of the
+	// registrations, after the leader is gone.
+	leaseLife = 3 * time.Second
+	// leaseMargin by which this VM stops to lead before its lease ends, for the time
+	// between its check and the arrival of an order.
+	leaseMargin = 500 * time.Millisecond
+	// renewInterval of the lease.
+	renewInterval = time.Second
+	// rankDelay between the VMs that may take the lease, so that one call is enough.
+	rankDelay = 500 * time.Millisecond
+	// campaignInterval between two looks at the leader's key.
+	campaignInterval = 250 * time.Millisecond
+)
+
+// lead holds the lease while this VM has one.
+type lead struct {
+	lease uint64
+	// revision of the leader's key under this lease.
+	revision uint64
+	// until is a reading of the clock that goes on while the VM is suspended.
+	until time.Duration
+}
+
+// Campaign takes the lease when nobody has it, and keeps it, until the context ends.
+func (p *Part) Campaign(ctx context.Context) {
+	var vacantSince time.Duration
+	for ctx.Err() == nil {
+		wait := campaignInterval
+		switch {
+		case p.current().lease != 0:
+			p.renew(ctx)
+			wait = renewInterval
+		case p.config.View.VMs().Leader != "" || !p.config.Contact.Reached():
+			vacantSince = 0
+		case vacantSince == 0:
+			vacantSince = p.config.Timer.Boot()
+		case p.config.Timer.Boot()-vacantSince >= time.Duration(p.rank())*rankDelay:
+			p.take(ctx)
+			vacantSince = 0
+		}
+		pause := p.config.Timer.After(wait)
+		select {
+		case <-pause.C():
+		case <-ctx.Done():
+		}
+		pause.Stop()
+	}
+	p.resign()
+}
+
+// rank of this VM among those that may lead.
+func (p *Part) rank() int {
+	var candidates []routing.VM
+	for name := range p.config.View.VMs().ByName {
+		candidates = append(candidates, routing.VM{Name: name})
+	}
+	for i, vm := range routing.Rank(store.LeaderKey, candidates) {
+		if vm.Name == p.config.View.Self().Name {
+			return i
+		}
+	}
+	return len(candidates)
+}
+
+func (p *Part) take(ctx context.Context) {
+	asked := p.config.Timer.Boot()
+	lease, lasts, err := p.config.Store.Grant(ctx, leaseLife)
+	if err != nil {
+		p.config.Log.Info("No lease for the leader's key.", "error", err.Error())
+		return
+	}
+	revision, err := p.config.Store.Commit(ctx, store.Change{
+		Conditions: []store.Condition{{Key: store.LeaderKey}},
+		Writes: []store.Write{{
+			Key:   store.LeaderKey,
+			Value: []byte(p.config.View.Self().Name),
+			Lease: lease,
+		}},
+	})
+	if err != nil {
+		p.config.Log.Info("Another VM may have taken the lead.", "error", err.Error())
+		p.endLease(lease)
+		return
+	}
+	p.setLead(lead{
+		lease:    lease,
+		revision: revision,
+		until:    asked + lasts - leaseMargin,
+	})
+	p.config.Log.Info("This VM orders promotions from now on.", "lease", lease)
+}
+
+func (p *Part) renew(ctx context.Context) {
+	held := p.current()
+	asked := p.config.Timer.Boot()
+	err := p.config.Store.Keep(ctx, held.lease)
+	switch {
+	case err == nil:
+		held.until = asked + leaseLife - leaseMargin
+		p.setLead(held)
+	case errors.Is(err, store.ErrNoLease) || p.config.Timer.Boot() > held.until+leaseMargin:
+		p.config.Log.Info("This VM no longer orders promotions.", "reason", err.Error())
+		p.setLead(lead{})
+	}
+}
+
+// resign lets another VM lead at once.
+func (p *Part) resign() {
+	held := p.current()
+	p.setLead(lead{})
+	if held.lease != 0 {
+		p.endLease(held.lease)
+	}
+}
+
+func (p *Part) endLease(lease uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := p.config.Store.End(ctx, lease); err != nil {
+		p.config.Log.Info("The lease ends by itself.", "lease", lease, "error", err.Error())
+	}
+}
+
+func (p *Part) current() lead {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lead
+}
+
+func (p *Part) setLead(l lead) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lead = l
+}
+
+// Leads tells whether this VM may order promotions now.
+func (p *Part) Leads() bool {
+	held := p.current()
+	return held.lease != 0 && p.config.Timer.Boot() < held.until
+}
--- /dev/null
+++ b/engine/gossip/gossip.go
@@ -0,0 +1,156 @@
+// Package gossip spreads what VMs know between them, so that a VM which does not
+// reach the store still learns of configurations, endpoints and the fleet.
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// interval between two questions to other VMs.
+	interval = 500 * time.Millisecond
+	// hurriedInterval while this VM does not reach the store.
+	hurriedInterval = 200 * time.Millisecond
+	// callTimeout for the answer to a question.
+	callTimeout = 500 * time.Millisecond
+)
+
+// Contact tells whether the store answered this VM lately.
+type Contact interface {
+	Reached() bool
+}
+
+// Config configures a Part.
+type Config struct {
+	View  *view.View
+	Links *peer.Links
+	Store Contact
+	Timer timer.Service
+	Log   logr.Logger
+	// Seeds are addresses of VMs to ask while no other VM is known.
+	Seeds []netip.AddrPort
+	// Pick returns a random number below n.
+	Pick func(n int) int
+}
+
+// Part asks other VMs and answers them.
+type Part struct {
+	config  Config
+	leaving atomic.Bool
+}
+
+// New returns a Part that does nothing yet.
+func New(config Config) *Part {
+	return &Part{config: config}
+}
+
+// Leave tells the others, from now on, that this VM takes no new work.
+func (p *Part) Leave() { p.leaving.Store(true) }
+
+// Leaving tells whether Leave was called.
+func (p *Part) Leaving() bool { return p.leaving.Load() }
+
+// Run asks until the context ends.
+func (p *Part) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.ask(ctx)
+		wait := interval
+		if !p.config.Store.Reached() {
+			wait = hurriedInterval
+		}
+		if err := timer.Sleep(ctx, p.config.Timer, wait); err != nil {
+			return
+		}
+	}
+}
+
+// Announce tells all other VMs at once that this VM takes no new work.
+func (p *Part) Announce(ctx context.Context) {
+	for _, vm := range p.config.View.Peers() {
+		go p.exchange(ctx, vm)
+	}
+}
+
+// ask asks one VM, at random.
+func (p *Part) ask(ctx context.Context) {
+	peers := p.config.View.Peers()
+	if len(peers) == 0 {
+		for _, address := range p.config.Seeds {
+			if address != p.config.View.Self().Address {
+				peers = append(peers, catalog.VM{
+					Name:    address.String(),
+					Address: address,
+				})
+			}
+		}
+	}
+	if len(peers) > 0 {
+		p.exchange(ctx, peers[p.config.Pick(len(peers))])
+	}
+}
+
+func (p *Part) exchange(ctx context.Context, vm catalog.VM) {
+	v := p.config.View
+	question := &peer.News{
+		From:              v.Self(),
+		Leaving:           p.leaving.Load(),
+		EndpointsRevision: v.Endpoints().Revision,
+		VMsRevision:       v.VMsRevision(),
+		WithStore:         p.config.Store.Reached(),
+	}
+	if c := v.Configuration(); c != nil {
+		question.ConfigVersion = c.Version
+	}
+	var answer peer.NewsReply
+	if err := p.config.Links.Call(ctx, vm, "News", question, &answer, callTimeout); err != nil {
+		p.config.Log.V(1).Info("A VM did not tell its news.", "peer", vm.Name, "error", err.Error())
+		return
+	}
+	v.Heard(answer.From.Name)
+	v.SetLeaving(answer.From.Name, answer.From.Incarnation, answer.Leaving)
+	if answer.Config != nil {
+		v.AcceptConfiguration(answer.Config, answer.From.Name)
+	}
+	if answer.Endpoints != nil {
+		v.AcceptEndpoints(answer.Endpoints, answer.From.Name)
+	}
+	if answer.VMs != nil {
+		v.AcceptVMs(answer.VMs, answer.From.Name)
+	}
+}
+
+// News answers another VM. One that reaches the store reads the reports itself.
+func (p *Part) News(question *peer.News) peer.NewsReply {
+	v := p.config.View
+	v.Heard(question.From.Name)
+	v.SetLeaving(question.From.Name, question.From.Incarnation, question.Leaving)
+	answer := peer.NewsReply{
+		From:    v.Self(),
+		Leaving: p.leaving.Load(),
+	}
+	if c := v.Configuration(); c != nil && c.Version > question.ConfigVersion {
+		answer.Config = c
+	}
+	if question.WithStore {
+		return answer
+	}
+	if e := v.Endpoints(); e.Revision > question.EndpointsRevision {
+		answer.Endpoints = e
+	}
+	if revision := v.VMsRevision(); revision > question.VMsRevision {
+		vms := *v.VMs()
+		vms.Revision = revision
+		answer.VMs = &vms
+	}
+	return answer
+}
--- /dev/null
+++ b/engine/lending/lending.go
@@ -0,0 +1,287 @@
+// Package lending holds workspaces to their limits over all VMs. A few VMs each hold
+// a part of a workspace's rate and burst, found by hashing over the registered
+// fleet; the others, and those whose part is used up, borrow from them. A lender
+// debits before it answers, so that tokens can be lost but never made.
+package lending
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// creditLife is how long borrowed tokens may be spent. It moves at most this much
+	// of the rate from one window into the next.
+	creditLife = 400 * time.Millisecond
+	// minLoan is the smallest number of tokens to ask for.
+	minLoan = 2
+	// dryPause after no lender had tokens, during which requests are refused at once.
+	dryPause = 150 * time.Millisecond
+	// demandGain is the weight of the last interval in the measured demand.
+	demandGain = 0.3
+	// demandInterval over which the demand is measured.
+	demandInterval = 200 * time.Millisecond
+)
+
+// Fleet tells of the registered VMs.
+type Fleet interface {
+	Self() catalog.VM
+	VMs() *catalog.VMs
+	Configuration() *catalog.Configuration
+}
+
+// Lender asks another VM for tokens.
+type Lender interface {
+	// Call has the contract of peer.Links.Call.
+	Call(ctx context.Context, vm catalog.VM, method string, arguments, answer any, timeout time.Duration) error
+	// Down tells whether the VM could not be reached a moment ago.
+	Down(vm string) bool
+}
+
+// Config configures Limits.
+type Config struct {
+	Fleet    Fleet
+	Lender   Lender
+	Timer    timer.Service
+	Log      logr.Logger
+	Registry metrics.Registry
+}
+
+// Limits admits requests. It is safe for concurrent use.
+type Limits struct {
+	config   Config
+	borrowed metrics.Counter
+	refused  metrics.Counter
+
+	mu         sync.Mutex
+	workspaces map[string]*workspace
+}
+
+// workspace is what this VM may admit of one workspace.
+type workspace struct {
+	bucket limits.Bucket
+	// limit and fleet from which the bucket was made.
+	limit   limits.Limit
+	fleet   *catalog.VMs
+	holders []catalog.VM
+
+	credit int64
+	// creditUntil is a reading of the clock that goes on while the VM is suspended.
+	creditUntil time.Duration
+	dryUntil    time.Time
+	// borrowing is closed at the end of the loan that is under way; nil if none is.
+	borrowing chan struct{}
+	// next is the holder that is asked first.
+	next int
+
+	admitted   float64
+	demand     float64
+	measuredAt time.Time
+}
+
+// New returns Limits whose buckets are empty, so that a restart admits no second
+// burst.
+func New(config Config) *Limits {
+	return &Limits{
+		config:     config,
+		borrowed:   metrics.GetOrRegisterCounter("limits.borrowedTokens", config.Registry),
+		refused:    metrics.GetOrRegisterCounter("limits.refused", config.Registry),
+		workspaces: map[string]*workspace{},
+	}
+}
+
+// Warm makes the buckets of all workspaces, so that they fill before the first
+// request.
+func (l *Limits) Warm() {
+	configuration := l.config.Fleet.Configuration()
+	if configuration == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range configuration.Workspaces {
+		l.workspace(name)
+	}
+}
+
+// Admit takes a token of the workspace, and waits for one loan at most. It returns a
+// *refusal.Error, as not run.
+func (l *Limits) Admit(ctx context.Context, name string) error {
+	for try := 0; ; try++ {
+		l.mu.Lock()
+		w, ok := l.workspace(name)
+		if !ok {
+			l.mu.Unlock()
+			return refusal.NewNotRun(refusal.NotAllowed, "the configuration does not name the workspace")
+		}
+		now := l.config.Timer.Now()
+		if w.take(now, l.config.Timer.Boot()) {
+			l.mu.Unlock()
+			return nil
+		}
+		if try > 1 || now.Before(w.dryUntil) {
+			retry := w.bucket.Until(now, 1)
+			l.mu.Unlock()
+			l.refused.Inc(1)
+			return &refusal.Error{
+				Outcome:    refusal.NotRun,
+				Reason:     refusal.RateExceeded,
+				Message:    "the workspace is at its limit",
+				RetryAfter: max(min(retry, time.Second), dryPause),
+			}
+		}
+		done := w.borrowing
+		if done == nil {
+			done = make(chan struct{})
+			w.borrowing = done
+			go l.borrow(name, w, done)
+		}
+		l.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return refusal.NewNotRun(refusal.DeadlineExceeded, "the request ended while it waited for its limit")
+		}
+	}
+}
+
+// Lend gives away up to half of the tokens that this VM holds.
+func (l *Limits) Lend(request *peer.Loan) peer.Lent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w, ok := l.workspace(request.Workspace)
+	if !ok {
+		return peer.Lent{}
+	}
+	now := l.config.Timer.Now()
+	available := w.bucket.Available(now)
+	return peer.Lent{Tokens: w.bucket.Take(now, min(request.Tokens, (available+1)/2))}
+}
+
+// workspace returns the state of a workspace, brought up to date with the
+// configuration and the fleet. The caller holds the lock.
+func (l *Limits) workspace(name string) (*workspace, bool) {
+	configuration := l.config.Fleet.Configuration()
+	if configuration == nil {
+		return nil, false
+	}
+	declared, ok := configuration.Workspaces[name]
+	if !ok {
+		return nil, false
+	}
+	limit := limits.Limit{
+		Rate:  declared.RatePerSecond,
+		Burst: int64(declared.Burst),
+	}
+	fleet := l.config.Fleet.VMs()
+	now := l.config.Timer.Now()
+	w, known := l.workspaces[name]
+	if !known {
+		w = &workspace{
+			bucket:     limits.NewBucket(now, 0, 0),
+			measuredAt: now,
+		}
+		l.workspaces[name] = w
+	}
+	if w.fleet != fleet || w.limit != limit {
+		w.fleet = fleet
+		w.limit = limit
+		w.holders = holders(name, limit.Holders(), fleet)
+		part := int64(0)
+		for _, vm := range w.holders {
+			if vm.Name == l.config.Fleet.Self().Name {
+				part = limits.Whole / int64(len(w.holders))
+			}
+		}
+		capacity, rate := limit.Of(part)
+		w.bucket.Resize(now, capacity, rate)
+	}
+	return w, true
+}
+
+// holders returns the VMs that hold the parts of a workspace.
+func holders(name string, count int, fleet *catalog.VMs) []catalog.VM {
+	candidates := make([]routing.VM, 0, len(fleet.ByName))
+	for vm := range fleet.ByName {
+		candidates = append(candidates, routing.VM{Name: vm})
+	}
+	ranked := routing.Rank(name, candidates)
+	found := make([]catalog.VM, 0, count)
+	for _, r := range ranked[:min(count, len(ranked))] {
+		found = append(found, fleet.ByName[r.Name])
+	}
+	return found
+}
+
+// take spends a borrowed token before one of its own.
+func (w *workspace) take(now time.Time, boot time.Duration) bool {
+	w.admitted++
+	if elapsed := now.Sub(w.measuredAt); elapsed >= demandInterval {
+		w.demand += demandGain * (w.admitted/elapsed.Seconds() - w.demand)
+		w.admitted = 0
+		w.measuredAt = now
+	}
+	if w.credit > 0 && boot < w.creditUntil {
+		w.credit--
+		return true
+	}
+	w.credit = 0
+	return w.bucket.Take(now, 1) == 1
+}
+
+// borrow asks the holders in turn until one lends.
+func (l *Limits) borrow(name string, w *workspace, done chan struct{}) {
+	l.mu.Lock()
+	wanted := max(int64(w.demand*creditLife.Seconds()), minLoan)
+	asked, first := w.holders, w.next
+	l.mu.Unlock()
+	lent := int64(0)
+	for i := 0; i < len(asked) && lent == 0; i++ {
+		at := (first + i) % len(asked)
+		vm := asked[at]
+		if vm.Name == l.config.Fleet.Self().Name || l.config.Lender.Down(vm.Name) {
+			continue
+		}
+		var answer peer.Lent
+		request := &peer.Loan{
+			Workspace: name,
+			Tokens:    wanted,
+		}
+		started := l.config.Timer.Boot()
+		err := l.config.Lender.Call(context.Background(), vm, "Lend", request, &answer, limits.LoanBound)
+		if err != nil {
+			l.config.Log.V(1).Info("A loan failed.", "workspace", name, "lender", vm.Name, "error", err.Error())
+			continue
+		}
+		// A loan that arrives late may no longer fit into the window that paid for it.
+		if l.config.Timer.Boot()-started <= limits.LoanBound {
+			lent = answer.Tokens
+			first = at
+		}
+	}
+	l.borrowed.Inc(lent)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Timer.Now()
+	w.borrowing = nil
+	if lent > 0 {
+		w.next = first
+		w.credit = lent
+		w.creditUntil = l.config.Timer.Boot() + creditLife
+	} else {
+		w.next++
+		w.dryUntil = now.Add(dryPause)
+	}
+	close(done)
+}
--- /dev/null
+++ b/engine/peer/messages.go
@@ -0,0 +1,132 @@
+// Package peer carries calls between VMs over net/rpc with gob, one connection for
+// each direction of a pair.
+package peer
+
+import (
+	"time"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/statement"
+)
+
+// Step is how a forwarded statement relates to a transaction.
+type Step int
+
+// The steps.
+const (
+	// Single runs outside of a transaction.
+	Single Step = iota
+	// First opens the transaction and runs in it.
+	First
+	// Next runs in the open transaction.
+	Next
+	// CommitStep ends the transaction and keeps it.
+	CommitStep
+	// RollbackStep ends the transaction and drops it.
+	RollbackStep
+	// Position asks for a recent position of the primary, and runs nothing.
+	Position
+)
+
+// TransactionKey identifies a transaction in the fleet.
+type TransactionKey struct {
+	// VM and Incarnation are those of the VM that holds the caller's connection.
+	VM          string
+	Incarnation string
+	Number      uint64
+}
+
+// Run asks the home of an endpoint to run a statement there.
+type Run struct {
+	// Transaction is zero for Single.
+	Transaction TransactionKey
+	// TransactionIdle is how long the transaction may rest between statements.
+	TransactionIdle time.Duration
+	Workspace       string
+	Target          catalog.Endpoint
+	// MaxConnections that the endpoint accepts from the whole fleet.
+	MaxConnections int
+	Step           Step
+	ID             string
+	Text           string
+	Write          bool
+	// ReadOnly opens the transaction for reads only.
+	ReadOnly bool
+	// Prepared is set for executions of a prepared statement; Text then holds the
+	// arguments.
+	Prepared *statement.Prepared
+	Values   map[string]string
+	After    logpos.Position
+	// Fenced reads prove that the endpoint is the primary while they run.
+	Fenced bool
+	// Timeout is what is left for the statement.
+	Timeout time.Duration
+}
+
+// Ran is the answer to Run.
+type Ran struct {
+	Rows      []string
+	Signature string
+	Position  logpos.Position
+	// Refused is set in place of rows and a signature.
+	Refused *refusal.Error
+	// Failed tells that the transaction can only be rolled back.
+	Failed bool
+	// ProvedPrimary tells that the endpoint led its database while the statement
+	// ran, so that Position covers each commit acknowledged before Run was sent.
+	ProvedPrimary bool
+	// Age of the position in the answer to the step Position.
+	Age time.Duration
+	// ExpectedWait for a slot at the endpoint, as its home sees it.
+	ExpectedWait time.Duration
+}
+
+// Loan asks for tokens of a workspace's limit.
+type Loan struct {
+	Workspace string
+	Tokens    int64
+}
+
+// Lent is the answer to Loan.
+type Lent struct {
+	Tokens int64
+}
+
+// News says what the asking VM knows, so that the answer holds only newer data.
+type News struct {
+	From catalog.VM
+	// Leaving tells that the asking VM takes no new work.
+	Leaving           bool
+	ConfigVersion     uint64
+	EndpointsRevision uint64
+	VMsRevision       uint64
+	// WithStore tells whether the asking VM reached the store lately.
+	WithStore bool
+}
+
+// NewsReply holds what is newer than the asking VM's knowledge.
+type NewsReply struct {
+	From      catalog.VM
+	Leaving   bool
+	Config    *catalog.Configuration
+	Endpoints *catalog.Endpoints
+	VMs       *catalog.VMs
+}
+
+// Suspicion tells the leader that a home does not reach an endpoint, or asks another
+// VM to try.
+type Suspicion struct {
+	// From is the VM that asks.
+	From   string
+	Target catalog.Endpoint
+}
+
+// SuspicionReply is the answer of a VM that was asked to try an endpoint.
+type SuspicionReply struct {
+	Reached bool
+}
+
+// Nothing is an empty message.
+type Nothing struct{}
--- /dev/null
+++ b/engine/store/sync.go
@@ -0,0 +1,207 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+const (
+	// watchWait of one watch for configurations. Each watch is a priced call, and a
+	// connection that went silent is found by keep-alive probes meanwhile.
+	watchWait = 15 * time.Second
+	// watchPause between two watches, so that configurations in quick succession cost
+	// one call for several.
+	watchPause = 200 * time.Millisecond
+	// pollInterval of the stale reads of reports and registrations.
+	pollInterval = time.Second
+	// firstPause after a failed call; it doubles up to maxPause.
+	firstPause = 100 * time.Millisecond
+	maxPause   = time.Second
+	// recentContact within which the store counts as reached.
+	recentContact = 2500 * time.Millisecond
+)
+
+// Config configures a Sync.
+type Config struct {
+	Store        Store
+	Declarations Declarations
+	Reports      Reports
+	View         *view.View
+	Timer        timer.Service
+	Log          logr.Logger
+	Registry     metrics.Registry
+	// Jitter returns a random value in [0, 1).
+	Jitter func() float64
+}
+
+// Sync follows the store.
+type Sync struct {
+	config Config
+	// reached is the reading of the clock at the last answer of the store, and lost
+	// the one at the first failure since, or 0. steady is the reading since when the
+	// store has answered without a failure.
+	reached atomic.Int64
+	lost    atomic.Int64
+	steady  atomic.Int64
+	// read is set once the configuration was read from the store itself.
+	read     atomic.Bool
+	failures metrics.Counter
+	wake     chan struct{}
+}
+
+// New returns a Sync that does nothing yet.
+func New(config Config) *Sync {
+	return &Sync{
+		config:   config,
+		failures: metrics.GetOrRegisterCounter("store.failures", config.Registry),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// Reached tells whether the store answered lately.
+func (s *Sync) Reached() bool {
+	reached := s.reached.Load()
+	return reached != 0 && s.config.Timer.Boot()-time.Duration(reached) < recentContact
+}
+
+// SteadyFor returns for how long the store has answered this VM without a failure.
+func (s *Sync) SteadyFor() time.Duration {
+	steady := s.steady.Load()
+	if steady == 0 || !s.Reached() {
+		return 0
+	}
+	return s.config.Timer.Boot() - time.Duration(steady)
+}
+
+// ConfigurationRead tells whether this process has read the configuration from the
+// store, past what other VMs knew.
+func (s *Sync) ConfigurationRead() bool { return s.read.Load() }
+
+// Poll asks for a read of the reports without waiting for the next interval.
+func (s *Sync) Poll() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// note records the outcome of a call to the store.
+func (s *Sync) note(err error) {
+	boot := int64(s.config.Timer.Boot())
+	if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, ErrConflict) {
+		s.reached.Store(boot)
+		s.steady.CompareAndSwap(0, boot)
+		if lost := s.lost.Swap(0); lost != 0 {
+			s.config.Log.Info("The store answers again.", "outage", time.Duration(boot-lost).String())
+		}
+		return
+	}
+	s.failures.Inc(1)
+	s.steady.Store(0)
+	if s.lost.CompareAndSwap(0, boot) {
+		s.config.Log.Info("The store does not answer.", "error", err.Error())
+	}
+}
+
+// FollowConfiguration reads and then watches the configuration until the context
+// ends.
+func (s *Sync) FollowConfiguration(ctx context.Context) {
+	var revision uint64
+	backoff := s.newBackoff()
+	for ctx.Err() == nil {
+		if revision == 0 {
+			configuration, at, err := s.config.Declarations.Read(ctx)
+			s.note(err)
+			if err != nil {
+				backoff.sleep(ctx)
+				continue
+			}
+			if configuration != nil {
+				s.config.View.AcceptConfiguration(configuration, "store")
+				s.read.Store(true)
+			}
+			revision = at
+		}
+		configuration, at, err := s.config.Declarations.Watch(ctx, revision, watchWait)
+		s.note(err)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			revision = 0
+			continue
+		case err != nil:
+			backoff.sleep(ctx)
+			continue
+		}
+		backoff.reset()
+		revision = max(revision, at)
+		if configuration != nil {
+			s.config.View.AcceptConfiguration(configuration, "store")
+			s.read.Store(true)
+			s.pause(ctx, watchPause)
+		}
+	}
+}
+
+// FollowReports reads the endpoints' reports in intervals until the context ends.
+func (s *Sync) FollowReports(ctx context.Context) {
+	backoff := s.newBackoff()
+	// The first read has to be right, because a stale one may lack a primary.
+	stale := false
+	for ctx.Err() == nil {
+		endpoints, err := s.config.Reports.Read(ctx, stale)
+		s.note(err)
+		if err != nil {
+			backoff.sleep(ctx)
+			continue
+		}
+		backoff.reset()
+		s.config.View.AcceptEndpoints(endpoints, "store")
+		stale = true
+		interval := s.config.Timer.After(s.jittered(pollInterval))
+		select {
+		case <-interval.C():
+		case <-s.wake:
+			stale = false
+		case <-ctx.Done():
+		}
+		interval.Stop()
+	}
+}
+
+func (s *Sync) pause(ctx context.Context, wait time.Duration) {
+	// The error says that the context has ended, which the caller's loop sees too.
+	_ = timer.Sleep(ctx, s.config.Timer, wait)
+}
+
+// jittered spreads an interval by a fifth, so that the VMs' calls do not meet.
+func (s *Sync) jittered(interval time.Duration) time.Duration {
+	return time.Duration((0.9 + 0.2*s.config.Jitter()) * float64(interval))
+}
+
+// backoff grows the pause between failed calls.
+type backoff struct {
+	sync *Sync
+	wait time.Duration
+}
+
+func (s *Sync) newBackoff() *backoff {
+	return &backoff{
+		sync: s,
+		wait: firstPause,
+	}
+}
+
+func (b *backoff) reset() { b.wait = firstPause }
+
+func (b *backoff) sleep(ctx context.Context) {
+	b.sync.pause(ctx, b.sync.jittered(b.wait))
+	b.wait = min(2*b.wait, maxPause)
+}
--- a/timer/manual.go
+++ b/timer/manual.go
@@ -9,6 +9,7 @@
 type Manual struct {
 	mu            sync.Mutex
 	now           time.Time
+	boot          time.Duration
 	subscriptions map[*manualSubscription]struct{}
 }
 
@@ -48,14 +49,29 @@
 		}
 		next.due = next.due.Add(next.interval)
 	}
+	m.boot += duration
 	m.now = end
 }
 
+// Suspend moves only the clock that goes on while a machine is suspended.
+func (m *Manual) Suspend(duration time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.boot += duration
+}
+
 // After subscribes to one tick once the wait has passed.
 func (m *Manual) After(wait time.Duration) Subscription {
 	return m.subscribe(wait, 0)
 }
 
+// Boot returns the time that Advance and Suspend have added up to.
+func (m *Manual) Boot() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.boot
+}
+
 // Every subscribes to a tick for each interval.
 func (m *Manual) Every(interval time.Duration) Subscription {
 	return m.subscribe(interval, interval)
--- a/timer/manual_test.go
+++ b/timer/manual_test.go
@@ -59,3 +59,20 @@
 		Expect(clock.Subscribers()).To(BeZero())
 	})
 })
+
+var _ = Describe("Boot", func() {
+	It("goes on while the machine is suspended, when Now stands still", func() {
+		clock := timer.NewManual(timer.ManualConfig{})
+		clock.Advance(time.Second)
+		before := clock.Now()
+		clock.Suspend(5 * time.Second)
+		Expect(clock.Boot()).To(Equal(6 * time.Second))
+		Expect(clock.Now()).To(Equal(before))
+	})
+
+	It("does not fall on the clock of the machine", func() {
+		clock := timer.NewSystem()
+		first := clock.Boot()
+		Expect(clock.Boot()).To(BeNumerically(">=", first))
+	})
+})
--- a/timer/system.go
+++ b/timer/system.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // System is a Service on the clock of the machine.
@@ -27,6 +29,18 @@
 	return time.Now()
 }
 
+// Boot reads CLOCK_BOOTTIME, or the monotonic clock where that fails.
+func (s *System) Boot() time.Duration {
+	var reading unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
+		return time.Since(processStart)
+	}
+	return time.Duration(reading.Nano())
+}
+
+// processStart is the origin of Boot where CLOCK_BOOTTIME is missing.
+var processStart = time.Now()
+
 type systemAfter struct {
 	timer *time.Timer
 }
