--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -232,9 +232,11 @@
 			continue
 		case err != nil && d.request.Write && d.request.Step == peer.Single:
 			return &peer.Ran{Refused: refusal.NewUnknown(refusal.OutcomeNotKnown, "the home was lost before it answered the write")}
+		case err != nil && d.request.Step == peer.First:
+			// The statement may have run, so it must not run again in another transaction.
+			return &peer.Ran{Refused: lostStep(d.request)}
 		case err != nil:
 			last = &peer.Ran{Refused: refusal.NewNotRun(refusal.Unreachable, "the home was lost before it answered")}
-			d.renew()
 			continue
 		case ran.Refused != nil && ran.Refused.Outcome == refusal.NotRun &&
 			(ran.Refused.Reason == refusal.Unreachable || ran.Refused.Reason == refusal.NotReady):
@@ -249,14 +251,6 @@
 	return last
 }
 
-// renew gives a transaction that may have been opened at a lost home a new key, so
-// that the next home does not take the two for one.
-func (d *dispatch) renew() {
-	if d.request.Step == peer.First {
-		d.request.Transaction.Number = d.session.sessions.sequences.last.Add(1)
-	}
-}
-
 // call runs a request at a home, which may be this VM.
 func (s *Sessions) call(ctx context.Context, home catalog.VM, request *peer.Run) (*peer.Ran, error) {
 	if home.Name == s.config.View.Self().Name {
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -87,6 +87,10 @@
 	if err != nil {
 		t.ended = true
 		t.node.unanswered()
+		if together {
+			// The statement may have run, so it must not run again in another transaction.
+			return refused(refusal.NewNotRun(refusal.TransactionConflict, "the endpoint did not answer the start of the transaction"))
+		}
 		return refused(refusal.NewNotRun(refusal.Unreachable, "the endpoint did not answer the start of the transaction"))
 	}
 	t.node.answered()
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -24,10 +24,8 @@
 	// creditLife is how long borrowed tokens may be spent. It moves at most this much
 	// of the rate from one window into the next.
 	creditLife = 400 * time.Millisecond
-	// minLoan is the smallest number of tokens to ask for.
-	minLoan = 2
 	// dryPause after no lender had tokens, during which requests are refused at once.
-	dryPause = 150 * time.Millisecond
+	dryPause = 60 * time.Millisecond
 	// demandGain is the weight of the last interval in the measured demand.
 	demandGain = 0.3
 	// demandInterval over which the demand is measured.
@@ -82,6 +80,8 @@
 	dryUntil    time.Time
 	// borrowing is closed at the end of the loan that is under way; nil if none is.
 	borrowing chan struct{}
+	// waiting requests, which spend a loan at once.
+	waiting int64
 	// next is the holder that is asked first.
 	next int
 
@@ -147,16 +147,27 @@
 			w.borrowing = done
 			go l.borrow(name, w, done)
 		}
+		w.waiting++
 		l.mu.Unlock()
 		select {
 		case <-done:
+			l.leaveWait(w)
 		case <-ctx.Done():
+			l.leaveWait(w)
 			return refusal.NewNotRun(refusal.DeadlineExceeded, "the request ended while it waited for its limit")
 		}
 	}
 }
 
-// Lend gives away up to half of the tokens that this VM holds.
+func (l *Limits) leaveWait(w *workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.waiting--
+}
+
+// Lend gives away what waiting requests need, and of what they are expected to need
+// soon at most half of the tokens that this VM holds, because a loan that is not
+// spent is lost.
 func (l *Limits) Lend(request *peer.Loan) peer.Lent {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -165,8 +176,8 @@
 		return peer.Lent{}
 	}
 	now := l.config.Timer.Now()
-	available := w.bucket.Available(now)
-	return peer.Lent{Tokens: w.bucket.Take(now, min(request.Tokens, (available+1)/2))}
+	spare := min(w.bucket.Available(now)/2, request.Soon)
+	return peer.Lent{Tokens: w.bucket.Take(now, max(request.Waiting, spare))}
 }
 
 // workspace returns the state of a workspace, brought up to date with the
@@ -205,6 +216,8 @@
 			}
 		}
 		capacity, rate := limit.Of(part)
+		l.config.Log.Info("The part of a workspace's limit changed.", "workspace", name, "rate", limit.Rate, "burst", limit.Burst,
+			"holders", len(w.holders), "part", part)
 		w.bucket.Resize(now, capacity, rate)
 	}
 	return w, true
@@ -243,7 +256,11 @@
 // borrow asks the holders in turn until one lends.
 func (l *Limits) borrow(name string, w *workspace, done chan struct{}) {
 	l.mu.Lock()
-	wanted := max(int64(w.demand*creditLife.Seconds()), minLoan)
+	request := &peer.Loan{
+		Workspace: name,
+		Waiting:   max(w.waiting, 1),
+		Soon:      int64(w.demand * creditLife.Seconds()),
+	}
 	asked, first := w.holders, w.next
 	l.mu.Unlock()
 	lent := int64(0)
@@ -254,10 +271,6 @@
 			continue
 		}
 		var answer peer.Lent
-		request := &peer.Loan{
-			Workspace: name,
-			Tokens:    wanted,
-		}
 		started := l.config.Timer.Boot()
 		err := l.config.Lender.Call(context.Background(), vm, "Lend", request, &answer, limits.LoanBound)
 		if err != nil {
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -86,7 +86,10 @@
 // Loan asks for tokens of a workspace's limit.
 type Loan struct {
 	Workspace string
-	Tokens    int64
+	// Waiting requests spend a token each at once.
+	Waiting int64
+	// Soon is how many more are expected while a loan may be spent.
+	Soon int64
 }
 
 // Lent is the answer to Loan.
