--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -66,8 +66,9 @@
 	return result
 }
 
-// open begins a transaction at the endpoint. A write goes out only after the answer
-// to the begin, so that it can never run outside of the transaction.
+// open begins a transaction at the endpoint. The statement goes out only after the
+// answer to the begin, because it would run outside of a transaction that an endpoint
+// without the lead, or without the position, refuses.
 func (h *Home) open(ctx context.Context, t *transaction, request *peer.Run, deadline time.Time) *peer.Ran {
 	c, err := t.node.connection(ctx, request.Workspace)
 	if err != nil {
@@ -79,37 +80,22 @@
 		ReadOnly: request.ReadOnly,
 		After:    request.After,
 	})
-	together := !request.Write && request.Text != ""
-	if together {
-		commands = append(commands, bodyOf(request, name))
-	}
 	replies, err := c.Run(deadline.Sub(h.config.Timer.Now()), commands)
 	if err != nil {
 		t.ended = true
 		t.node.unanswered()
-		if together {
-			// The statement may have run, so it must not run again in another transaction.
-			return refused(refusal.NewNotRun(refusal.TransactionConflict, "the endpoint did not answer the start of the transaction"))
-		}
 		return refused(refusal.NewNotRun(refusal.Unreachable, "the endpoint did not answer the start of the transaction"))
 	}
 	t.node.answered()
-	last := len(replies)
-	if together {
-		last--
-	}
-	for _, r := range replies[:last] {
+	for _, r := range replies {
 		if r.Problem != nil {
 			failed := refusedBy(r.Problem)
 			failed.Outcome = refusal.NotRun
 			return refused(failed)
 		}
 	}
-	if together {
-		return ranFrom(request, replies[last], !request.ReadOnly)
-	}
 	if request.Text == "" {
-		return &peer.Ran{Position: replies[last-1].Position}
+		return &peer.Ran{Position: replies[len(replies)-1].Position}
 	}
 	return h.step(t, request, bodyOf(request, name), deadline)
 }
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// watchWait of one watch for configurations. Each watch is a priced call, and a
-	// connection that went silent is found by keep-alive probes meanwhile.
-	watchWait = 15 * time.Second
+	// watchWait of one watch for configurations. A watch may hear nothing of a change
+	// while the store drops its history, so it must end well before the 4 s in which a
+	// configuration has to be in force.
+	watchWait = 2 * time.Second
 	// watchPause between two watches, so that configurations in quick succession cost
 	// one call for several.
 	watchPause = 200 * time.Millisecond
