--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -86,15 +86,18 @@
 // Answers of the VMs that were asked to reach a primary, without the leader's own.
 type Answers struct {
 	// Leader tells whether the leader itself reached it.
-	Leader    bool
+	Leader bool
+	// Asked VMs, of which some may not have answered.
+	Asked     int
 	Reached   int
 	Unreached int
 }
 
-// Confirmed tells whether the primary counts as lost: nobody reached it, and at
-// least one other VM tried, because a leader that is cut off itself reaches nothing.
+// Confirmed tells whether the primary counts as lost: nobody reached it, and most of
+// the VMs that were asked, with the leader, say so. A leader that is cut off together
+// with a few VMs reaches nothing either, while the others still use the primary.
 func (a Answers) Confirmed() bool {
-	return !a.Leader && a.Reached == 0 && a.Unreached > 0
+	return !a.Leader && a.Reached == 0 && 2*(a.Unreached+1) > a.Asked+1 && a.Unreached > 0
 }
 
 // Candidate is an endpoint that may be promoted.
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -70,14 +70,27 @@
 		func(answers takeover.Answers, confirmed bool) {
 			Expect(answers.Confirmed()).To(Equal(confirmed))
 		},
-		Entry("nobody reaches it", takeover.Answers{Unreached: 2}, true),
+		Entry("nobody reaches it", takeover.Answers{
+			Asked:     6,
+			Unreached: 6,
+		}, true),
 		Entry("only the leader tried, which may be cut off", takeover.Answers{}, false),
+		Entry("the leader is cut off with a few others", takeover.Answers{
+			Asked:     6,
+			Unreached: 2,
+		}, false),
+		Entry("most say so and the rest do not answer", takeover.Answers{
+			Asked:     6,
+			Unreached: 3,
+		}, true),
 		Entry("another VM reaches it", takeover.Answers{
+			Asked:     3,
 			Reached:   1,
 			Unreached: 2,
 		}, false),
 		Entry("the leader reaches it", takeover.Answers{
 			Leader:    true,
+			Asked:     2,
 			Unreached: 2,
 		}, false),
 	)
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -54,6 +55,8 @@
 	outcomes  *outcomes
 	sampling  sampling
 	sequences sequences
+	// joined is set once this VM has had a configuration and a place in the fleet.
+	joined atomic.Bool
 }
 
 // New returns Sessions.
@@ -94,8 +97,15 @@
 	required logpos.Position
 }
 
-// Open returns a session, or why it is refused.
-func (s *Sessions) Open(host, key string) (*Session, *refusal.Error) {
+// startWait for the first configuration of a VM that has just started. Callers give
+// up 2 s after their start.
+const startWait = 1500 * time.Millisecond
+
+// Open returns a session, or why it is refused. A VM that has just started, after a
+// power failure of all for example, may learn the configuration at any moment, so that
+// a caller waits for it a little.
+func (s *Sessions) Open(ctx context.Context, host, key string) (*Session, *refusal.Error) {
+	s.awaitStart(ctx)
 	opened := &Session{
 		sessions: s,
 		host:     host,
@@ -108,6 +118,40 @@
 	return opened, nil
 }
 
+func (s *Sessions) started() bool {
+	if s.joined.Load() {
+		return true
+	}
+	_, registered := s.config.View.VMs().ByName[s.config.View.Self().Name]
+	if registered && s.config.View.Configuration() != nil {
+		s.joined.Store(true)
+	}
+	return s.joined.Load()
+}
+
+// awaitStart waits for the configuration, and for this VM's place in the fleet,
+// without which it has no part of any limit.
+func (s *Sessions) awaitStart(ctx context.Context) {
+	if s.started() {
+		return
+	}
+	limit := s.config.Timer.After(startWait)
+	defer limit.Stop()
+	for {
+		changed := s.config.View.Changed()
+		if s.started() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // InTransaction tells whether the caller has a transaction open.
 func (s *Session) InTransaction() bool { return s.transaction != nil }
 
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -25,8 +25,9 @@
 	tick = 150 * time.Millisecond
 	// verifyPause between two verifications of one primary.
 	verifyPause = 400 * time.Millisecond
-	// verifiers are asked at most, besides the leader.
-	verifiers = 3
+	// verifiers are asked at most, besides the leader: all others of a small fleet, and
+	// enough of a large one that a group which is cut off is not their majority.
+	verifiers = 8
 	// askTimeout for an endpoint's report, long enough for a slot of a busy one.
 	askTimeout = 600 * time.Millisecond
 	// confirmTimeout for the answer of a VM that tries an endpoint.
@@ -272,7 +273,10 @@
 			}
 		}()
 	}
-	answers := takeover.Answers{Leader: p.reaches(ctx, primary)}
+	answers := takeover.Answers{
+		Asked:  asked,
+		Leader: p.reaches(ctx, primary),
+	}
 	for range asked {
 		switch w := <-words; {
 		case w.reached:
--- a/engine/failover/leader.go
+++ b/engine/failover/leader.go
@@ -38,10 +38,16 @@
 	var vacantSince time.Duration
 	for ctx.Err() == nil {
 		wait := campaignInterval
+		isolated := p.config.Links.Isolated()
 		switch {
+		case p.current().lease != 0 && isolated:
+			p.config.Log.Info("This VM reaches few others and lets another one order promotions.")
+			p.resign()
 		case p.current().lease != 0:
 			p.renew(ctx)
 			wait = renewInterval
+		case isolated:
+			vacantSince = 0
 		case p.config.View.VMs().Leader != "" || !p.config.Contact.Reached():
 			vacantSince = 0
 		case vacantSince == 0:
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -26,6 +26,9 @@
 	creditLife = 400 * time.Millisecond
 	// dryPause after no lender had tokens, during which requests are refused at once.
 	dryPause = 60 * time.Millisecond
+	// restartGap is the least time between the end of a process and the start of its
+	// successor, in which neither admits anything.
+	restartGap = 300 * time.Millisecond
 	// demandGain is the weight of the last interval in the measured demand.
 	demandGain = 0.3
 	// demandInterval over which the demand is measured.
@@ -64,11 +67,15 @@
 
 	mu         sync.Mutex
 	workspaces map[string]*workspace
+	// emptyAt is when the buckets of this process were empty at the latest.
+	emptyAt time.Time
 }
 
 // workspace is what this VM may admit of one workspace.
 type workspace struct {
 	bucket limits.Bucket
+	// made is set once this VM has seen itself in the fleet, and so knows its part.
+	made bool
 	// limit and fleet from which the bucket was made.
 	limit   limits.Limit
 	fleet   *catalog.VMs
@@ -90,14 +97,15 @@
 	measuredAt time.Time
 }
 
-// New returns Limits whose buckets are empty, so that a restart admits no second
-// burst.
+// New returns Limits whose buckets fill from the end of the process's predecessor, so
+// that a restart admits no second burst.
 func New(config Config) *Limits {
 	return &Limits{
 		config:     config,
 		borrowed:   metrics.GetOrRegisterCounter("limits.borrowedTokens", config.Registry),
 		refused:    metrics.GetOrRegisterCounter("limits.refused", config.Registry),
 		workspaces: map[string]*workspace{},
+		emptyAt:    config.Timer.Now().Add(-restartGap),
 	}
 }
 
@@ -199,10 +207,7 @@
 	now := l.config.Timer.Now()
 	w, known := l.workspaces[name]
 	if !known {
-		w = &workspace{
-			bucket:     limits.NewBucket(now, 0, 0),
-			measuredAt: now,
-		}
+		w = &workspace{measuredAt: now}
 		l.workspaces[name] = w
 	}
 	if w.fleet != fleet || w.limit != limit {
@@ -216,6 +221,14 @@
 			}
 		}
 		capacity, rate := limit.Of(part)
+		_, registered := fleet.ByName[l.config.Fleet.Self().Name]
+		if !w.made {
+			w.bucket = limits.NewBucket(l.emptyAt, 0, 0)
+			w.made = registered
+			if registered {
+				w.bucket = limits.NewBucket(l.emptyAt, capacity, rate)
+			}
+		}
 		l.config.Log.Info("The part of a workspace's limit changed.", "workspace", name, "rate", limit.Rate, "burst", limit.Burst,
 			"holders", len(w.holders), "part", part)
 		w.bucket.Resize(now, capacity, rate)
--- a/engine/peer/links.go
+++ b/engine/peer/links.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -68,10 +70,13 @@
 	downUntil time.Time
 	failures  int
 	testing   bool
+	// silent is set while the VM does not answer at all.
+	silent atomic.Bool
 }
 
 // failed puts the next try off. The caller holds the lock.
-func (k *link) failed(now time.Time) {
+func (k *link) failed(now time.Time, silent bool) {
+	k.silent.Store(silent)
 	k.downUntil = now.Add(min(downPause<<min(k.failures, 8), maxDownPause))
 	k.failures++
 }
@@ -96,6 +101,25 @@
 	return k.client == nil && l.config.Timer.Now().Before(k.downUntil)
 }
 
+// Isolated tells whether this VM seems to be cut off: most of the VMs that it has
+// links to do not answer at all. One whose process has ended refuses connections, and
+// does not count.
+func (l *Links) Isolated() bool {
+	l.mu.Lock()
+	links := make([]*link, 0, len(l.byName))
+	for _, k := range l.byName {
+		links = append(links, k)
+	}
+	l.mu.Unlock()
+	silent := 0
+	for _, k := range links {
+		if k.silent.Load() {
+			silent++
+		}
+	}
+	return 2*silent > len(links)
+}
+
 // Call calls a method of a VM and waits for the answer at most for the timeout. The
 // error is ErrUnreachable, ErrLost or context.DeadlineExceeded.
 func (l *Links) Call(ctx context.Context, vm catalog.VM, method string, arguments, answer any, timeout time.Duration) error {
@@ -133,7 +157,7 @@
 	if errors.As(call.Error, &remote) {
 		return eris.Wrap(call.Error, "answer of the VM "+k.name)
 	}
-	l.drop(k, client, call.Error.Error())
+	l.drop(k, client, call.Error.Error(), false)
 	return ErrLost
 }
 
@@ -146,7 +170,7 @@
 		return k
 	}
 	if ok {
-		go l.drop(k, nil, "the VM has a new address")
+		go l.drop(k, nil, "the VM has a new address", false)
 	}
 	k = &link{
 		name:    vm.Name,
@@ -169,11 +193,12 @@
 	defer cancel()
 	connection, err := l.config.Dial(child, k.address)
 	if err != nil {
-		k.failed(l.config.Timer.Now())
+		k.failed(l.config.Timer.Now(), !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET))
 		l.config.Log.Info("A VM is not reachable.", "peer", k.name, "error", err.Error())
 		return nil, ErrUnreachable
 	}
 	k.failures = 0
+	k.silent.Store(false)
 	k.client = rpc.NewClient(&bounded{
 		Conn:  connection,
 		timer: l.config.Timer,
@@ -197,7 +222,7 @@
 	select {
 	case <-call.Done:
 	case <-timeout.C():
-		l.drop(k, client, "no answer to a ping")
+		l.drop(k, client, "no answer to a ping", true)
 	}
 	k.mu.Lock()
 	k.testing = false
@@ -205,7 +230,7 @@
 }
 
 // drop closes a link, or any client of it if client is nil.
-func (l *Links) drop(k *link, client *rpc.Client, reason string) {
+func (l *Links) drop(k *link, client *rpc.Client, reason string, silent bool) {
 	k.mu.Lock()
 	current := k.client
 	if current == nil || (client != nil && current != client) {
@@ -213,7 +238,7 @@
 		return
 	}
 	k.client = nil
-	k.failed(l.config.Timer.Now())
+	k.failed(l.config.Timer.Now(), silent)
 	k.mu.Unlock()
 	l.config.Log.Info("Dropped the link to a VM.", "peer", k.name, "reason", reason)
 	if err := current.Close(); err != nil && !errors.Is(err, rpc.ErrShutdown) {
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -23,9 +23,11 @@
 	watchPause = 200 * time.Millisecond
 	// pollInterval of the stale reads of reports and registrations.
 	pollInterval = time.Second
-	// firstPause after a failed call; it doubles up to maxPause.
-	firstPause = 100 * time.Millisecond
-	maxPause   = time.Second
+	// firstPause after a failed call; it doubles up to maxPause, or up to
+	// maxStartPause while this VM has no configuration and serves nobody.
+	firstPause    = 100 * time.Millisecond
+	maxPause      = time.Second
+	maxStartPause = 250 * time.Millisecond
 	// recentContact within which the store counts as reached.
 	recentContact = 2500 * time.Millisecond
 )
@@ -204,5 +206,9 @@
 
 func (b *backoff) sleep(ctx context.Context) {
 	b.sync.pause(ctx, b.sync.jittered(b.wait))
-	b.wait = min(2*b.wait, maxPause)
+	longest := maxPause
+	if b.sync.config.View.Configuration() == nil || len(b.sync.config.View.Endpoints().ByID) == 0 {
+		longest = maxStartPause
+	}
+	b.wait = min(2*b.wait, longest)
 }
