Wait for a connection at an endpoint's limit; spend the tolerance of limits on restarts

Change: a statement with a slot waits for one of the home's connections, and closes an idle one of another workspace before it opens its own. A bucket begins with what the operators' tolerance allows.

Ruled out: full buckets, which break the bound where the burst is larger than the rate.

--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -97,7 +97,7 @@
 	case peer.RollbackStep:
 		return h.rollBack(request.Transaction)
 	case peer.Position:
-		return h.position(ctx, request)
+		return h.position(ctx, request, deadline)
 	default:
 		return refused(refusal.NewNotRun(refusal.InvalidRequest, "the step is unknown"))
 	}
@@ -142,7 +142,7 @@
 }
 
 func (h *Home) singleOnce(ctx context.Context, n *node, request *peer.Run, deadline time.Time) (*peer.Ran, bool) {
-	c, err := n.connection(ctx, request.Workspace)
+	c, err := n.connection(ctx, request.Workspace, deadline)
 	if err != nil {
 		return refusedError(err), false
 	}
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -21,6 +21,9 @@
 	// failedPause after a failure, in which no connection is opened, so that waiting
 	// statements do not each wait for an endpoint that is gone.
 	failedPause = 100 * time.Millisecond
+	// claimPause before another look for a connection, about the time of a short
+	// statement.
+	claimPause = 15 * time.Millisecond
 	// tooManyPause without new connections after an endpoint reported its limit. The
 	// connections of a VM that is gone are dropped within 3 s.
 	tooManyPause = 300 * time.Millisecond
@@ -88,44 +91,66 @@
 }
 
 // connection returns an idle connection of the workspace, or a new one. Its caller
-// holds a slot, and transactions leave as many connections as there are slots.
-func (n *node) connection(ctx context.Context, workspace string) (*pooled, error) {
+// holds a slot, and transactions leave as many connections as there are slots. While
+// the endpoint is at its limit, for example with the connections of a home that has
+// lost power, it waits for one of those that this home has.
+func (n *node) connection(ctx context.Context, workspace string, deadline time.Time) (*pooled, error) {
+	for {
+		found, evicted, err := n.claim(workspace)
+		if evicted != nil {
+			evicted.Close()
+		}
+		if err != nil {
+			if err == errAtLimit && n.config.Timer.Now().Add(claimPause).Before(deadline) && timer.Sleep(ctx, n.config.Timer, claimPause) == nil {
+				continue
+			}
+			return nil, err
+		}
+		if found != nil {
+			return found, nil
+		}
+		opened, err := n.dial(ctx, workspace)
+		var refused *ReplyError
+		if errors.As(err, &refused) {
+			if refused.Code == TooManyConnections && n.config.Timer.Now().Add(claimPause).Before(deadline) {
+				continue
+			}
+			return nil, refusedBy(refused)
+		}
+		return opened, err
+	}
+}
+
+// errAtLimit tells that a connection may become free soon.
+var errAtLimit error = refusal.NewNotRun(refusal.Overloaded, "the endpoint is at its limit of connections")
+
+// claim takes an idle connection, or the right to open one, for which it may have to
+// close one of another workspace. The error is errAtLimit, or that the endpoint does
+// not answer.
+func (n *node) claim(workspace string) (found, evicted *pooled, err error) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if found := n.takeIdle(workspace); found != nil {
-		n.mu.Unlock()
-		return found, nil
+		return found, nil, nil
 	}
 	now := n.config.Timer.Now()
-	var evicted *pooled
 	switch {
 	case n.failing && now.Sub(n.failedAt) < failedPause:
-		n.mu.Unlock()
-		return nil, refusal.NewNotRun(refusal.Unreachable, "the endpoint did not answer a moment ago")
-	case now.Before(n.tooManyUntil):
-		n.mu.Unlock()
-		return nil, &refusal.Error{
-			Outcome:    refusal.NotRun,
-			Reason:     refusal.Overloaded,
-			Message:    "the endpoint is at its limit of connections",
-			RetryAfter: n.tooManyUntil.Sub(now),
-		}
-	case n.open < n.limit:
+		return nil, nil, refusal.NewNotRun(refusal.Unreachable, "the endpoint did not answer a moment ago")
+	case n.open < n.limit && !now.Before(n.tooManyUntil):
 		n.open++
+		return nil, nil, nil
 	case len(n.idle) > 0:
-		evicted = n.idle[0]
+		evicted := n.idle[0]
 		n.idle = n.idle[1:]
+		return nil, evicted, nil
 	default:
-		n.mu.Unlock()
-		return nil, refusal.NewNotRun(refusal.Overloaded, "all connections to the endpoint are in use")
-	}
-	n.mu.Unlock()
-	if evicted != nil {
-		evicted.Close()
+		return nil, nil, errAtLimit
 	}
-	return n.dial(ctx, workspace)
 }
 
-// dial opens a connection that is already counted.
+// dial opens a connection that is already counted. The error is a *ReplyError or a
+// *refusal.Error.
 func (n *node) dial(ctx context.Context, workspace string) (*pooled, error) {
 	child, cancel := timer.WithTimeout(ctx, n.config.Timer, dialTimeout)
 	defer cancel()
@@ -152,7 +177,7 @@
 		n.tooManyUntil = n.config.Timer.Now().Add(tooManyPause)
 		n.mu.Unlock()
 	}
-	return nil, refusedBy(refused)
+	return nil, refused
 }
 
 // takeIdle returns the idle connection of the workspace that was used last.
--- a/engine/endpoint/position.go
+++ b/engine/endpoint/position.go
@@ -14,7 +14,7 @@
 
 // position returns a recent position of the endpoint, if it leads its database. A
 // transaction that is opened and rolled back takes no slot.
-func (h *Home) position(ctx context.Context, request *peer.Run) *peer.Ran {
+func (h *Home) position(ctx context.Context, request *peer.Run, deadline time.Time) *peer.Ran {
 	n := h.node(request)
 	if sample, ok := n.sampled(h.config.Timer.Boot()); ok {
 		return &peer.Ran{
@@ -27,7 +27,7 @@
 	c := n.takeAny()
 	if c == nil {
 		var err error
-		if c, err = n.connection(ctx, request.Workspace); err != nil {
+		if c, err = n.connection(ctx, request.Workspace, deadline); err != nil {
 			return refusedError(err)
 		}
 	}
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -70,7 +70,7 @@
 // answer to the begin, because it would run outside of a transaction that an endpoint
 // without the lead, or without the position, refuses.
 func (h *Home) open(ctx context.Context, t *transaction, request *peer.Run, deadline time.Time) *peer.Ran {
-	c, err := t.node.connection(ctx, request.Workspace)
+	c, err := t.node.connection(ctx, request.Workspace, deadline)
 	if err != nil {
 		return refusedError(err)
 	}
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -57,6 +57,11 @@
 	Timer    timer.Service
 	Log      logr.Logger
 	Registry metrics.Registry
+	// Tolerance is the part of a limit by which the fleet may pass it in any Window.
+	// It is spent on restarts only: a process does not know what its predecessor has
+	// admitted.
+	Tolerance float64
+	Window    time.Duration
 }
 
 // Limits admits requests. It is safe for concurrent use.
@@ -223,11 +228,11 @@
 		capacity, rate := limit.Of(part)
 		_, registered := fleet.ByName[l.config.Fleet.Self().Name]
 		if !w.made {
-			w.bucket = limits.NewBucket(l.emptyAt, 0, 0)
 			w.made = registered
-			if registered {
-				w.bucket = limits.NewBucket(l.emptyAt, capacity, rate)
+			if !registered {
+				capacity, rate = 0, 0
 			}
+			w.bucket = limits.NewBucket(l.emptyAt.Add(-l.tolerated(limit)), capacity, rate)
 		}
 		l.config.Log.Info("The part of a workspace's limit changed.", "workspace", name, "rate", limit.Rate, "burst", limit.Burst,
 			"holders", len(w.holders), "part", part)
@@ -236,6 +241,15 @@
 	return w, true
 }
 
+// tolerated is the time in which a limit's rate yields what the fleet may pass it by.
+func (l *Limits) tolerated(limit limits.Limit) time.Duration {
+	if limit.Rate <= 0 {
+		return 0
+	}
+	seconds := l.config.Window.Seconds() + float64(limit.Burst)/limit.Rate
+	return time.Duration(l.config.Tolerance * seconds * float64(time.Second))
+}
+
 // holders returns the VMs that hold the parts of a workspace.
 func holders(name string, count int, fleet *catalog.VMs) []catalog.VM {
 	candidates := make([]routing.VM, 0, len(fleet.ByName))
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -46,12 +46,16 @@
 	Regions map[string]string
 	Seeds   []netip.AddrPort
 	// Grace is the time from Leave to the end of the process.
-	Grace        time.Duration
-	Store        store.Store
-	Declarations store.Declarations
-	Reports      store.Reports
-	Orders       failover.Orders
-	Dialer       endpoint.Dialer
+	Grace time.Duration
+	// LimitTolerance is the part of a workspace's limit by which the fleet may pass it
+	// in any LimitWindow.
+	LimitTolerance float64
+	LimitWindow    time.Duration
+	Store          store.Store
+	Declarations   store.Declarations
+	Reports        store.Reports
+	Orders         failover.Orders
+	Dialer         endpoint.Dialer
 	// DialVM opens connections to other VMs, and PeerListener accepts theirs.
 	DialVM       func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	PeerListener net.Listener
@@ -128,11 +132,13 @@
 func (v *VM) joinDeciders() {
 	c := v.config
 	v.limits = lending.New(lending.Config{
-		Fleet:    v.view,
-		Lender:   v.links,
-		Timer:    c.Timer,
-		Log:      c.Log.WithName("lending"),
-		Registry: c.Registry,
+		Fleet:     v.view,
+		Lender:    v.links,
+		Timer:     c.Timer,
+		Log:       c.Log.WithName("lending"),
+		Registry:  c.Registry,
+		Tolerance: c.LimitTolerance,
+		Window:    c.LimitWindow,
 	})
 	v.gossip = gossip.New(gossip.Config{
 		View:  v.view,
