Test the engine's homes, sessions, views and limits

Found by the new tests: a read whose answer was lost was not run again, because the pause after a failed connection also followed a lost answer; only a failed connection pauses now.

--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -17,8 +17,14 @@
 }
 
 var (
-	here     = placement.Site{DataCentre: "a1", Region: "a"}
-	required = logpos.Position{Term: 2, Index: 100}
+	here = placement.Site{
+		DataCentre: "a1",
+		Region:     "a",
+	}
+	required = logpos.Position{
+		Term:  2,
+		Index: 100,
+	}
 )
 
 func replica(id, dataCentre, region string) placement.Candidate {
@@ -77,22 +83,37 @@
 
 	It("passes over an endpoint that has just lacked the position", func() {
 		behind := near
-		behind.Position = logpos.Position{Term: 2, Index: 90}
-		behind.Lacked = logpos.Position{Term: 2, Index: 95}
+		behind.Position = logpos.Position{
+			Term:  2,
+			Index: 90,
+		}
+		behind.Lacked = logpos.Position{
+			Term:  2,
+			Index: 95,
+		}
 		expectChoice("primary", behind, primary)
 	})
 
 	It("tries an endpoint again after the pause", func() {
 		behind := near
-		behind.Position = logpos.Position{Term: 2, Index: 90}
-		behind.Lacked = logpos.Position{Term: 2, Index: 95}
+		behind.Position = logpos.Position{
+			Term:  2,
+			Index: 90,
+		}
+		behind.Lacked = logpos.Position{
+			Term:  2,
+			Index: 95,
+		}
 		behind.LackedAge = time.Second
 		expectChoice("near", behind, primary)
 	})
 
 	It("finds none if all lack the position", func() {
 		behind := near
-		behind.Position = logpos.Position{Term: 1, Index: 900}
+		behind.Position = logpos.Position{
+			Term:  1,
+			Index: 900,
+		}
 		behind.Lacked = required
 		expectChoice("", behind)
 	})
--- /dev/null
+++ b/engine/caller/fakes_test.go
@@ -0,0 +1,239 @@
+package caller_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/caller"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/statement"
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine/caller")
+}
+
+// fakeFleet answers as the homes of all endpoints.
+type fakeFleet struct {
+	mu   sync.Mutex
+	runs []peer.Run
+	// answer by endpoint; nil for a success.
+	answer func(vm string, request *peer.Run) (*peer.Ran, error)
+	// refuse the workspace's limit.
+	limited *refusal.Error
+}
+
+func (f *fakeFleet) run(vm string, request *peer.Run) (*peer.Ran, error) {
+	f.mu.Lock()
+	f.runs = append(f.runs, *request)
+	answer := f.answer
+	f.mu.Unlock()
+	if answer != nil {
+		if ran, err := answer(vm, request); ran != nil || err != nil {
+			return ran, err
+		}
+	}
+	return served(request), nil
+}
+
+// served is a success at position 3/100.
+func served(request *peer.Run) *peer.Ran {
+	return &peer.Ran{
+		Signature: "signed by " + request.Target.Key.ID,
+		Position: logpos.Position{
+			Term:  3,
+			Index: 100,
+		},
+		ProvedPrimary: request.Target.Key.ID == "p" && (request.Write || request.Fenced || request.Step == peer.Position),
+	}
+}
+
+func (f *fakeFleet) Run(_ context.Context, request *peer.Run) *peer.Ran {
+	ran, err := f.run("self", request)
+	if err != nil {
+		return &peer.Ran{Refused: refusal.NewNotRun(refusal.Unreachable, err.Error())}
+	}
+	return ran
+}
+
+func (f *fakeFleet) Call(_ context.Context, vm catalog.VM, _ string, arguments, answer any, _ time.Duration) error {
+	ran, err := f.run(vm.Name, arguments.(*peer.Run))
+	if err != nil {
+		return err
+	}
+	*answer.(*peer.Ran) = *ran
+	return nil
+}
+
+func (f *fakeFleet) Admit(context.Context, string) error {
+	if f.limited != nil {
+		return f.limited
+	}
+	return nil
+}
+
+// steps returns the endpoints and texts of what was run, without samples.
+func (f *fakeFleet) steps() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var steps []string
+	for _, r := range f.runs {
+		if r.Step != peer.Position {
+			steps = append(steps, r.Target.Key.ID+" "+r.Text)
+		}
+	}
+	return steps
+}
+
+func (f *fakeFleet) lastRun() peer.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.runs) - 1; i >= 0; i-- {
+		if f.runs[i].Step != peer.Position {
+			return f.runs[i]
+		}
+	}
+	return peer.Run{}
+}
+
+// fixture is a VM with a configuration, a primary p and replicas r1 and r2.
+type fixture struct {
+	fleet    *fakeFleet
+	view     *view.View
+	sessions *caller.Sessions
+}
+
+func configuration(version uint64, keys map[string]string) *catalog.Configuration {
+	route := func(host string, kind catalog.RouteKind) catalog.Route {
+		return catalog.Route{
+			Host:         host,
+			Database:     "db",
+			Kind:         kind,
+			Timeout:      300 * time.Millisecond,
+			MaxStaleness: time.Second,
+		}
+	}
+	return &catalog.Configuration{
+		Version: version,
+		Routes: map[string]catalog.Route{
+			"strict":  route("strict", catalog.Primary),
+			"bounded": route("bounded", catalog.BoundedStaleness),
+			"own":     route("own", catalog.ReadYourWrites),
+		},
+		Databases:       map[string]catalog.Database{"db": {Name: "db", MaxConnections: 30}},
+		Workspaces:      map[string]catalog.Workspace{"ws": {Name: "ws"}},
+		WorkspaceByKey:  keys,
+		TransactionIdle: time.Second,
+	}
+}
+
+func endpoints(revision uint64, primary string) *catalog.Endpoints {
+	e := &catalog.Endpoints{
+		Revision: revision,
+		ByID:     map[string]catalog.Endpoint{},
+	}
+	for _, id := range []string{"p", "r1", "r2"} {
+		role := catalog.RoleReplica
+		if id == primary {
+			role = catalog.RolePrimary
+		}
+		e.ByID[id] = catalog.Endpoint{
+			Key:        catalog.EndpointKey{ID: id},
+			Database:   "db",
+			DataCentre: "a1",
+			Slots:      5,
+			Role:       role,
+		}
+	}
+	return e
+}
+
+func newFixture() *fixture {
+	f := &fixture{fleet: &fakeFleet{}}
+	self := catalog.VM{
+		Name:       "self",
+		DataCentre: "a1",
+		Region:     "a",
+	}
+	f.view = view.New(view.Config{
+		Self:    self,
+		Regions: map[string]string{"a1": "a"},
+		Timer:   timer.NewSystem(),
+		Log:     logr.Discard(),
+		Down:    func(string) bool { return false },
+	})
+	f.sessions = caller.New(caller.Config{
+		View:     f.view,
+		Home:     f.fleet,
+		Links:    f.fleet,
+		Limits:   f.fleet,
+		Timer:    timer.NewSystem(),
+		Log:      logr.Discard(),
+		Registry: metrics.NewRegistry(),
+	})
+	return f
+}
+
+// start makes the fixture know everything.
+func (f *fixture) start() *fixture {
+	f.view.AcceptConfiguration(configuration(1, map[string]string{"key": "ws"}), "test")
+	f.view.AcceptEndpoints(endpoints(1, "p"), "test")
+	f.view.AcceptVMs(&catalog.VMs{
+		Revision: 1,
+		ByName:   map[string]catalog.VM{"self": f.view.Self()},
+	}, "test")
+	return f
+}
+
+// open returns a session of the workspace.
+func (f *fixture) open(host string) *caller.Session {
+	GinkgoHelper()
+	session, refused := f.sessions.Open(context.Background(), host, "key")
+	Expect(refused).To(BeNil())
+	return session
+}
+
+// sampled gives the VM a fresh position of the primary.
+func (f *fixture) sampled(index uint64) {
+	f.view.Sampled("db", f.view.Boot(), logpos.Position{
+		Term:  3,
+		Index: index,
+	})
+}
+
+func do(session *caller.Session, st statement.Statement, text string) statement.Answer {
+	return session.Do(context.Background(), statement.Request{
+		ID:        "id1",
+		Text:      text,
+		Statement: st,
+	})
+}
+
+// expectServed guards against answers without the proof of an endpoint.
+func expectServed(answer statement.Answer, state statement.State) {
+	GinkgoHelper()
+	Expect(answer.Refused).To(BeNil())
+	Expect(answer.State).To(Equal(state))
+}
+
+// expectRefused guards against promises that are wrong, or given with a wrong state.
+func expectRefused(answer statement.Answer, outcome refusal.Outcome, reason refusal.Reason, state statement.State) {
+	GinkgoHelper()
+	Expect(answer.Refused).NotTo(BeNil())
+	Expect(answer.Refused.Outcome.String()).To(Equal(outcome.String()))
+	Expect(answer.Refused.Reason).To(Equal(reason))
+	Expect(answer.State).To(Equal(state))
+}
--- /dev/null
+++ b/engine/endpoint/fakes_test.go
@@ -0,0 +1,249 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/endpoint"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/statement"
+	"amaranthdock.dev/timer"
+)
+
+func TestEndpoint(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine/endpoint")
+}
+
+// fakeEndpoint runs commands by a script, and records what it ran.
+type fakeEndpoint struct {
+	mu   sync.Mutex
+	ran  []string
+	open int
+	// limit of connections; 0 for none.
+	limit int
+	// answer returns the reply to a command, or an error that ends the connection; nil
+	// for a success.
+	answer func(command endpoint.Command) (endpoint.Reply, error)
+	// hold, if set, is received from before each read is answered.
+	hold chan struct{}
+	// silent endpoints accept no connection.
+	silent bool
+}
+
+var errLost = errors.New("the connection was lost")
+
+func (f *fakeEndpoint) Dial(_ context.Context, _ catalog.Endpoint, workspace string) (endpoint.Connection, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent {
+		return nil, errLost
+	}
+	if f.limit > 0 && f.open >= f.limit {
+		return nil, &endpoint.ReplyError{
+			Code: endpoint.TooManyConnections,
+			Text: "TOOMANY",
+		}
+	}
+	f.open++
+	f.ran = append(f.ran, "start "+workspace)
+	return &fakeConnection{fake: f}, nil
+}
+
+func (f *fakeEndpoint) commands() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.ran...)
+}
+
+func (f *fakeEndpoint) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
+type fakeConnection struct {
+	fake   *fakeEndpoint
+	state  statement.State
+	closed bool
+}
+
+func (c *fakeConnection) Broken() bool {
+	c.fake.mu.Lock()
+	defer c.fake.mu.Unlock()
+	return c.closed
+}
+
+func (c *fakeConnection) Close() {
+	c.fake.mu.Lock()
+	defer c.fake.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		c.fake.open--
+		c.fake.ran = append(c.fake.ran, "close")
+	}
+}
+
+func (c *fakeConnection) Run(_ time.Duration, commands []endpoint.Command) ([]endpoint.Reply, error) {
+	var replies []endpoint.Reply
+	for _, command := range commands {
+		text := describe(command)
+		c.fake.mu.Lock()
+		c.fake.ran = append(c.fake.ran, text)
+		answer, hold := c.fake.answer, c.fake.hold
+		c.fake.mu.Unlock()
+		if hold != nil && strings.HasPrefix(text, "READ") {
+			<-hold
+		}
+		reply := endpoint.Reply{
+			Signature: "signed",
+			Position: logpos.Position{
+				Term:  3,
+				Index: 70,
+			},
+		}
+		if answer != nil {
+			scripted, err := answer(command)
+			if err != nil {
+				return replies, err
+			}
+			if scripted.Problem != nil {
+				reply = scripted
+			}
+		}
+		reply.State = c.next(command, reply.Problem)
+		replies = append(replies, reply)
+	}
+	return replies, nil
+}
+
+func (c *fakeConnection) next(command endpoint.Command, problem *endpoint.ReplyError) statement.State {
+	switch command.(type) {
+	case endpoint.Begin:
+		if problem == nil {
+			c.state = statement.InTransaction
+		}
+	case endpoint.Commit, endpoint.Rollback:
+		if problem == nil || problem.Code != endpoint.Busy {
+			c.state = statement.Idle
+		}
+	default:
+		if problem != nil && c.state == statement.InTransaction {
+			c.state = statement.Failed
+		}
+	}
+	return c.state
+}
+
+// describe returns a command as one word line.
+func describe(command endpoint.Command) string {
+	after := func(p logpos.Position) string {
+		if p.IsZero() {
+			return ""
+		}
+		return " after " + p.String()
+	}
+	switch c := command.(type) {
+	case endpoint.Forward:
+		return c.Text + after(c.After)
+	case endpoint.Execute:
+		return "EXECUTE " + c.Name + " " + c.Arguments
+	case endpoint.Begin:
+		return "begin" + after(c.After)
+	case endpoint.Commit:
+		return "commit"
+	case endpoint.Rollback:
+		return "rollback"
+	case endpoint.Set:
+		return "set " + c.Name + "=" + c.Value
+	case endpoint.Prepare:
+		return "prepare " + c.Name + " " + c.Prepared.Shape
+	case endpoint.Discard:
+		return "discard"
+	default:
+		return "status"
+	}
+}
+
+// problem is a scripted refusal.
+func problem(code endpoint.Code) (endpoint.Reply, error) {
+	return endpoint.Reply{Problem: &endpoint.ReplyError{
+		Code: code,
+		Text: "scripted",
+	}}, nil
+}
+
+// newHome returns a home of the fake endpoint.
+func newHome(fake *fakeEndpoint) *endpoint.Home {
+	return endpoint.New(endpoint.Config{
+		Dialer:    fake,
+		Timer:     timer.NewSystem(),
+		Log:       logr.Discard(),
+		Registry:  metrics.NewRegistry(),
+		FirstHome: func(catalog.Endpoint) bool { return true },
+	})
+}
+
+var target = catalog.Endpoint{
+	Key:      catalog.EndpointKey{ID: "e1"},
+	Database: "db",
+	Slots:    2,
+}
+
+// request of a workspace for the fake endpoint.
+func request(step peer.Step, text string, change ...func(*peer.Run)) *peer.Run {
+	r := &peer.Run{
+		Workspace:       "ws",
+		Target:          target,
+		MaxConnections:  10,
+		Step:            step,
+		ID:              "id1",
+		Text:            text,
+		Write:           strings.HasPrefix(text, "WRITE"),
+		Timeout:         400 * time.Millisecond,
+		TransactionIdle: time.Second,
+	}
+	if step != peer.Single {
+		r.Transaction = peer.TransactionKey{
+			VM:     "vm1",
+			Number: 1,
+		}
+	}
+	for _, c := range change {
+		c(r)
+	}
+	return r
+}
+
+// expectServed guards against a success without the endpoint's signature.
+func expectServed(ran *peer.Ran) {
+	GinkgoHelper()
+	Expect(ran.Refused).To(BeNil())
+	Expect(ran.Signature).To(Equal("signed"))
+}
+
+// expectRefused guards against refusals with a wrong promise.
+func expectRefused(ran *peer.Ran, outcome refusal.Outcome, reason refusal.Reason) {
+	GinkgoHelper()
+	Expect(ran.Refused).NotTo(BeNil())
+	Expect(ran.Refused.Outcome.String()).To(Equal(outcome.String()))
+	Expect(ran.Refused.Reason).To(Equal(reason))
+}
+
+// expectCommands guards against commands that are missing, too many or out of order.
+func expectCommands(fake *fakeEndpoint, expected ...string) {
+	GinkgoHelper()
+	Expect(fake.commands()).To(Equal(expected))
+}
--- a/engine/endpoint/node.go
+++ b/engine/endpoint/node.go
@@ -44,7 +44,7 @@
 	closed       bool
 	lastUsed     time.Time
 	failing      bool
-	failedAt     time.Time
+	dialFailedAt time.Time
 	reportedAt   time.Time
 	sample       staleness.Sample
 }
@@ -239,7 +239,6 @@
 	n.mu.Lock()
 	now := n.config.Timer.Now()
 	first := !n.failing
-	n.failedAt = now
 	n.failing = true
 	due := now.Sub(n.reportedAt) >= unansweredInterval
 	if due {
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -18,7 +18,7 @@
 	// maxPreparedNames on one connection, after which it is cleared before its next
 	// use outside of a transaction.
 	maxPreparedNames = 128
-	// failedPause after a failure, in which no connection is opened, so that waiting
+	// failedPause after a connection could not be opened, in which no other is tried, so that waiting
 	// statements do not each wait for an endpoint that is gone.
 	failedPause = 100 * time.Millisecond
 	// claimPause before another look for a connection, about the time of a short
@@ -135,7 +135,7 @@
 	}
 	now := n.config.Timer.Now()
 	switch {
-	case n.failing && now.Sub(n.failedAt) < failedPause:
+	case now.Sub(n.dialFailedAt) < failedPause:
 		return nil, nil, refusal.NewNotRun(refusal.Unreachable, "the endpoint did not answer a moment ago")
 	case n.open < n.limit && !now.Before(n.tooManyUntil):
 		n.open++
@@ -163,11 +163,15 @@
 			workspace:  workspace,
 		}, nil
 	}
+	var refused *ReplyError
+	answered := errors.As(err, &refused)
 	n.mu.Lock()
 	n.open--
+	if !answered {
+		n.dialFailedAt = n.config.Timer.Now()
+	}
 	n.mu.Unlock()
-	var refused *ReplyError
-	if !errors.As(err, &refused) {
+	if !answered {
 		n.unanswered()
 		return nil, refusal.NewNotRun(refusal.Unreachable, "no connection to the endpoint: "+err.Error())
 	}
