--- /dev/null
+++ b/engine/failover/failover_test.go
@@ -0,0 +1,420 @@
+package failover_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/endpoint"
+	"amaranthdock.dev/engine/failover"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/store"
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+func TestFailover(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine/failover")
+}
+
+var errSilent = errors.New("no answer")
+
+// fakeDatabase is a database of three endpoints, with the service that promotes.
+type fakeDatabase struct {
+	mu       sync.Mutex
+	primary  string
+	term     uint64
+	received map[string]uint64
+	lost     map[string]bool
+	orders   []string
+	numbers  []uint64
+	// swallow the next orders: they have no answer and no effect.
+	swallow int
+}
+
+func (f *fakeDatabase) Ask(_ context.Context, target catalog.Endpoint, command endpoint.Command) (*endpoint.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := target.Key.ID
+	if f.lost[id] {
+		return nil, errSilent
+	}
+	if _, ok := command.(endpoint.StepDown); ok {
+		f.primary = ""
+	}
+	role := catalog.RoleReplica
+	if f.primary == id {
+		role = catalog.RolePrimary
+	}
+	return &endpoint.Report{
+		Role: role,
+		Term: f.term,
+		Received: logpos.Position{
+			Term:  f.term,
+			Index: f.received[id],
+		},
+	}, nil
+}
+
+func (f *fakeDatabase) Promote(_ context.Context, _, id, _ string, number uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, id)
+	f.numbers = append(f.numbers, number)
+	if f.swallow > 0 {
+		f.swallow--
+		return errSilent
+	}
+	f.primary = id
+	f.term++
+	return nil
+}
+
+func (f *fakeDatabase) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeDatabase) given() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.orders...)
+}
+
+// fakeStore keeps what the leader needs of the store, and tells how it answers.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]store.Item
+	leases   map[uint64]bool
+	steady   time.Duration
+}
+
+func (f *fakeStore) Reached() bool { return true }
+func (f *fakeStore) Poll()         {}
+
+func (f *fakeStore) SteadyFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.steady
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.Item, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	item, ok := f.items[key]
+	return item, ok, nil
+}
+
+func (f *fakeStore) Range(context.Context, string, bool) ([]store.Item, uint64, error) {
+	return nil, 0, errSilent
+}
+
+func (f *fakeStore) Commit(_ context.Context, change store.Change) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range change.Conditions {
+		if f.items[c.Key].Revision != c.Revision {
+			return 0, store.ErrConflict
+		}
+	}
+	f.revision++
+	for _, w := range change.Writes {
+		f.items[w.Key] = store.Item{
+			Key:      w.Key,
+			Value:    w.Value,
+			Revision: f.revision,
+		}
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) Grant(_ context.Context, lasts time.Duration) (uint64, time.Duration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	f.leases[f.revision] = true
+	return f.revision, lasts, nil
+}
+
+func (f *fakeStore) Keep(_ context.Context, lease uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leases[lease] {
+		return store.ErrNoLease
+	}
+	return nil
+}
+
+func (f *fakeStore) End(_ context.Context, lease uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.leases, lease)
+	delete(f.items, store.LeaderKey)
+	return nil
+}
+
+// fakePeer is another VM, which says whether it reaches the primary.
+type fakePeer struct {
+	mu      sync.Mutex
+	reaches bool
+}
+
+func (f *fakePeer) Run(context.Context, *peer.Run) *peer.Ran { return &peer.Ran{} }
+func (f *fakePeer) Abandon(peer.TransactionKey)              {}
+func (f *fakePeer) Lend(*peer.Loan) peer.Lent                { return peer.Lent{} }
+func (f *fakePeer) News(*peer.News) peer.NewsReply           { return peer.NewsReply{} }
+func (f *fakePeer) Suspect(*peer.Suspicion)                  {}
+func (f *fakePeer) Promoted(*peer.Promotion)                 {}
+
+func (f *fakePeer) Confirm(context.Context, *peer.Suspicion) peer.SuspicionReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return peer.SuspicionReply{Reached: f.reaches}
+}
+
+// fixture is a VM among two others, before a database whose primary is a.
+type fixture struct {
+	database *fakeDatabase
+	store    *fakeStore
+	peers    []*fakePeer
+	view     *view.View
+	part     *failover.Part
+	revision uint64
+}
+
+func newFixture() *fixture {
+	f := &fixture{
+		database: &fakeDatabase{
+			primary: "a",
+			term:    3,
+			received: map[string]uint64{
+				"a": 50,
+				"b": 48,
+				"c": 49,
+			},
+			lost: map[string]bool{},
+		},
+		store: &fakeStore{
+			items:  map[string]store.Item{},
+			leases: map[uint64]bool{},
+			steady: time.Minute,
+		},
+	}
+	clock := timer.NewSystem()
+	links := peer.NewLinks(peer.LinksConfig{
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address.String())
+		},
+		Timer: clock,
+		Log:   logr.Discard(),
+	})
+	f.view = view.New(view.Config{
+		Self:  catalog.VM{Name: "self"},
+		Timer: clock,
+		Log:   logr.Discard(),
+		Down:  links.Down,
+	})
+	f.view.AcceptConfiguration(&catalog.Configuration{
+		Version:   1,
+		Databases: map[string]catalog.Database{"db": {Name: "db"}},
+	}, "test")
+	f.view.AcceptVMs(&catalog.VMs{
+		Revision: 1,
+		ByName:   f.serve(clock),
+	}, "test")
+	f.report("a", nil)
+	f.part = failover.New(failover.Config{
+		View:     f.view,
+		Store:    f.store,
+		Contact:  f.store,
+		Links:    links,
+		Prober:   f.database,
+		Orders:   f.database,
+		Timer:    clock,
+		Log:      logr.Discard(),
+		Registry: metrics.NewRegistry(),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	DeferCleanup(stop)
+	go f.part.Campaign(ctx)
+	go f.part.Run(ctx)
+	Eventually(f.part.Leads).WithTimeout(5 * time.Second).Should(BeTrue())
+	return f
+}
+
+// serve starts two other VMs and returns the fleet.
+func (f *fixture) serve(clock timer.Service) map[string]catalog.VM {
+	fleet := map[string]catalog.VM{"self": f.view.Self()}
+	for i := range 2 {
+		other := &fakePeer{}
+		f.peers = append(f.peers, other)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		server := peer.NewServer(peer.ServerConfig{
+			Handler: other,
+			Timer:   clock,
+			Log:     logr.Discard(),
+		})
+		go func() {
+			defer GinkgoRecover()
+			Expect(server.Serve(context.Background(), listener)).To(Succeed())
+		}()
+		name := fmt.Sprintf("other%d", i)
+		fleet[name] = catalog.VM{
+			Name:    name,
+			Address: netip.MustParseAddrPort(listener.Addr().String()),
+		}
+	}
+	return fleet
+}
+
+// report changes what the endpoints say in the store.
+func (f *fixture) report(primary string, change func(id string, e *catalog.Endpoint) bool) {
+	f.revision++
+	reported := &catalog.Endpoints{
+		Revision: f.revision,
+		ByID:     map[string]catalog.Endpoint{},
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		e := catalog.Endpoint{
+			Key:      catalog.EndpointKey{ID: id},
+			Database: "db",
+			Role:     catalog.RoleReplica,
+		}
+		if id == primary {
+			e.Role = catalog.RolePrimary
+		}
+		if change == nil || change(id, &e) {
+			reported.ByID[id] = e
+		}
+	}
+	f.view.AcceptEndpoints(reported, "test")
+}
+
+// suspectPrimary says, as a home would, that the primary does not answer.
+func (f *fixture) suspectPrimary() {
+	primary, ok := f.view.Primary("db")
+	if ok {
+		f.part.Suspect(primary)
+	}
+}
+
+// expectPromotion guards against a database that stays without a primary, or gets
+// another one than the endpoint that has received most.
+func (f *fixture) expectPromotion(id string) {
+	GinkgoHelper()
+	Eventually(func() string {
+		f.suspectPrimary()
+		primary, _ := f.view.Primary("db")
+		return primary.Key.ID
+	}).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(Equal(id))
+}
+
+// expectNoOrder guards against the promotion of a database that is well.
+func (f *fixture) expectNoOrder() {
+	GinkgoHelper()
+	Consistently(func() []string {
+		f.suspectPrimary()
+		return f.database.given()
+	}).WithTimeout(2 * time.Second).WithPolling(100 * time.Millisecond).Should(BeEmpty())
+}
+
+var _ = Describe("a primary", func() {
+	var f *fixture
+
+	BeforeEach(func() { f = newFixture() })
+
+	It("that nobody reaches is replaced by the endpoint that has received most", func() {
+		f.database.set(func() { f.database.lost["a"] = true })
+		f.expectPromotion("c")
+	})
+
+	It("that another VM reaches stays", func() {
+		f.database.set(func() { f.database.lost["a"] = true })
+		f.peers[0].mu.Lock()
+		f.peers[0].reaches = true
+		f.peers[0].mu.Unlock()
+		f.expectNoOrder()
+	})
+
+	It("that answers the leader stays, whatever a home says", func() { f.expectNoOrder() })
+
+	It("whose report has lapsed during an outage of the store stays", func() {
+		f.store.mu.Lock()
+		f.store.steady = time.Second
+		f.store.mu.Unlock()
+		f.report("", func(id string, _ *catalog.Endpoint) bool { return id != "a" })
+		f.expectNoOrder()
+	})
+
+	It("whose report is gone while the store answers is replaced", func() {
+		f.report("", func(id string, _ *catalog.Endpoint) bool { return id != "a" })
+		f.expectPromotion("c")
+	})
+
+	It("that leaves hands over only to an endpoint that has received all of its log", func() {
+		go func() {
+			time.Sleep(400 * time.Millisecond)
+			f.database.set(func() { f.database.received["b"] = 50 })
+		}()
+		f.report("a", func(id string, e *catalog.Endpoint) bool {
+			e.Draining = id == "a"
+			return true
+		})
+		f.expectPromotion("b")
+		Expect(f.database.given()).To(Equal([]string{"b"}))
+	})
+
+	// An order without an answer may be carried out later, and must then be refused.
+	It("is ordered again with a higher number when an order had no effect", func() {
+		f.database.set(func() {
+			f.database.lost["a"] = true
+			f.database.swallow = 1
+		})
+		f.expectPromotion("c")
+		f.database.mu.Lock()
+		defer f.database.mu.Unlock()
+		Expect(f.database.numbers).To(Equal([]uint64{1, 2}))
+	})
+})
+
+var _ = Describe("the lead", func() {
+	It("ends with the lease", func() {
+		f := newFixture()
+		f.store.mu.Lock()
+		f.store.leases = map[uint64]bool{}
+		f.store.mu.Unlock()
+		Eventually(f.part.Leads).WithTimeout(3 * time.Second).Should(BeFalse())
+	})
+
+	It("gives no number for an order once another VM has the leader's key", func() {
+		f := newFixture()
+		f.store.mu.Lock()
+		f.store.revision++
+		f.store.items[store.LeaderKey] = store.Item{
+			Key:      store.LeaderKey,
+			Value:    []byte("other0"),
+			Revision: f.store.revision,
+		}
+		f.store.mu.Unlock()
+		f.database.set(func() { f.database.lost["a"] = true })
+		f.expectNoOrder()
+	})
+})
--- /dev/null
+++ b/engine/peer/peer_test.go
@@ -0,0 +1,303 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/decision/logpos"
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/statement"
+	"amaranthdock.dev/timer"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine/peer")
+}
+
+// fakeVM answers calls; it holds those whose text is "hold".
+type fakeVM struct {
+	mu        sync.Mutex
+	abandoned []peer.TransactionKey
+	got       peer.Run
+	hold      chan struct{}
+}
+
+func (f *fakeVM) Run(_ context.Context, request *peer.Run) *peer.Ran {
+	f.mu.Lock()
+	f.got = *request
+	f.mu.Unlock()
+	if request.Text == "hold" {
+		<-f.hold
+	}
+	if request.Text == "refuse" {
+		return &peer.Ran{Refused: refusal.NewNotRun(refusal.Overloaded, "full")}
+	}
+	return &peer.Ran{
+		Rows:     []string{"row"},
+		Position: request.After,
+	}
+}
+
+func (f *fakeVM) Abandon(key peer.TransactionKey) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandoned = append(f.abandoned, key)
+}
+
+func (f *fakeVM) left() []peer.TransactionKey {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]peer.TransactionKey(nil), f.abandoned...)
+}
+
+func (f *fakeVM) Lend(request *peer.Loan) peer.Lent { return peer.Lent{Tokens: request.Waiting} }
+
+func (f *fakeVM) News(*peer.News) peer.NewsReply {
+	return peer.NewsReply{Config: &catalog.Configuration{
+		Version: 7,
+		Routes: map[string]catalog.Route{"h": {
+			Host: "h",
+			Kind: catalog.ReadYourWrites,
+		}},
+	}}
+}
+
+func (f *fakeVM) Suspect(*peer.Suspicion) {}
+
+func (f *fakeVM) Confirm(context.Context, *peer.Suspicion) peer.SuspicionReply {
+	return peer.SuspicionReply{Reached: true}
+}
+
+func (f *fakeVM) Promoted(*peer.Promotion) {}
+
+// silentConn takes all that is written and answers nothing, once it is muted.
+type silentConn struct {
+	net.Conn
+	muted  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *silentConn) Read(data []byte) (int, error) {
+	read, err := c.Conn.Read(data)
+	select {
+	case <-c.muted:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return read, err
+	}
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// pair is a VM that listens and links to it.
+type pair struct {
+	vm       *fakeVM
+	target   catalog.VM
+	links    *peer.Links
+	listener net.Listener
+	mu       sync.Mutex
+	opened   []net.Conn
+	muted    chan struct{}
+}
+
+func newPair() *pair {
+	p := &pair{
+		vm:    &fakeVM{hold: make(chan struct{})},
+		muted: make(chan struct{}),
+	}
+	var err error
+	p.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := peer.NewServer(peer.ServerConfig{
+		Handler: p.vm,
+		Timer:   timer.NewSystem(),
+		Log:     logr.Discard(),
+	})
+	go func() {
+		defer GinkgoRecover()
+		Expect(server.Serve(context.Background(), p.listener)).To(Succeed())
+	}()
+	p.target = catalog.VM{
+		Name:    "vm2",
+		Address: netip.MustParseAddrPort(p.listener.Addr().String()),
+	}
+	p.links = peer.NewLinks(peer.LinksConfig{
+		Dial:  p.dial,
+		Timer: timer.NewSystem(),
+		Log:   logr.Discard(),
+	})
+	return p
+}
+
+func (p *pair) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	opened, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened = append(p.opened, opened)
+	return &silentConn{
+		Conn:   opened,
+		muted:  p.muted,
+		closed: make(chan struct{}),
+	}, nil
+}
+
+func (p *pair) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.opened {
+		Expect(c.Close()).To(Succeed())
+	}
+}
+
+func (p *pair) run(request *peer.Run, timeout time.Duration) (*peer.Ran, error) {
+	answer := &peer.Ran{}
+	return answer, p.links.Call(context.Background(), p.target, "Run", request, answer, timeout)
+}
+
+// expectLost guards against calls that hang, or that are reported as not sent, when a
+// link ends.
+func expectLost(results chan error, within time.Duration) {
+	GinkgoHelper()
+	var err error
+	Eventually(results).WithTimeout(within).Should(Receive(&err))
+	Expect(errors.Is(err, peer.ErrLost)).To(BeTrue())
+}
+
+var _ = Describe("calls", func() {
+	var p *pair
+
+	BeforeEach(func() {
+		p = newPair()
+		DeferCleanup(func() { Expect(p.listener.Close()).To(Succeed()) })
+	})
+
+	It("carry all fields of a statement and of its answer", func() {
+		request := &peer.Run{
+			Text:     "READ a",
+			Step:     peer.Single,
+			Prepared: &statement.Prepared{Shape: "q"},
+			Values:   map[string]string{"tz": "utc"},
+			Target: catalog.Endpoint{
+				Key: catalog.EndpointKey{
+					ID:   "e1",
+					Born: time.UnixMilli(1234).UTC(),
+				},
+				Address: netip.MustParseAddrPort("127.0.0.1:9"),
+			},
+			After: logpos.Position{
+				Term:  3,
+				Index: 9,
+			},
+		}
+		ran, err := p.run(request, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.vm.got).To(Equal(*request))
+		Expect(ran.Rows).To(Equal([]string{"row"}))
+		Expect(ran.Position).To(Equal(request.After))
+	})
+
+	It("carry refusals with their promise", func() {
+		ran, err := p.run(&peer.Run{Text: "refuse"}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ran.Refused.Outcome).To(Equal(refusal.NotRun))
+	})
+
+	It("carry configurations", func() {
+		var answer peer.NewsReply
+		Expect(p.links.Call(context.Background(), p.target, "News", &peer.News{}, &answer, time.Second)).To(Succeed())
+		Expect(answer.Config.Routes["h"].Kind).To(Equal(catalog.ReadYourWrites))
+	})
+
+	It("are known as not sent when nobody listens", func() {
+		Expect(p.listener.Close()).To(Succeed())
+		_, err := p.run(&peer.Run{}, time.Second)
+		Expect(err).To(MatchError(peer.ErrUnreachable))
+		Expect(p.links.Down("vm2")).To(BeTrue())
+		Expect(p.links.Isolated()).To(BeFalse())
+		p.listener, _ = net.Listen("tcp", "127.0.0.1:0")
+	})
+
+	It("are lost when the link ends", func() {
+		results := make(chan error, 1)
+		go func() {
+			_, err := p.run(&peer.Run{Text: "hold"}, 5*time.Second)
+			results <- err
+		}()
+		Eventually(func() string { p.vm.mu.Lock(); defer p.vm.mu.Unlock(); return p.vm.got.Text }).Should(Equal("hold"))
+		p.cut()
+		expectLost(results, time.Second)
+	})
+
+	// A VM that is suspended keeps its connections open and answers nothing.
+	It("are lost long before their time is over when the VM is silent", func() {
+		_, err := p.run(&peer.Run{}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		close(p.muted)
+		results := make(chan error, 1)
+		go func() {
+			_, err := p.run(&peer.Run{}, 10*time.Second)
+			results <- err
+		}()
+		expectLost(results, 2*time.Second)
+		Expect(p.links.Isolated()).To(BeTrue())
+	})
+
+	It("stand while the VM answers pings, however long a statement takes", func() {
+		_, err := p.run(&peer.Run{Text: "hold"}, 1300*time.Millisecond)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		_, err = p.run(&peer.Run{}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		close(p.vm.hold)
+	})
+
+	It("of a VM that is gone leave none of its transactions open", func() {
+		open := peer.TransactionKey{
+			VM:     "vm1",
+			Number: 5,
+		}
+		ended := peer.TransactionKey{
+			VM:     "vm1",
+			Number: 4,
+		}
+		for _, request := range []*peer.Run{
+			{
+				Step:        peer.First,
+				Transaction: ended,
+			},
+			{
+				Step:        peer.CommitStep,
+				Transaction: ended,
+			},
+			{
+				Step:        peer.First,
+				Transaction: open,
+			},
+		} {
+			_, err := p.run(request, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		p.cut()
+		Eventually(p.vm.left).Should(Equal([]peer.TransactionKey{open}))
+	})
+})
--- /dev/null
+++ b/engine/store/sync_test.go
@@ -0,0 +1,117 @@
+package store_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the configuration", func() {
+	var f *fixture
+
+	BeforeEach(func() {
+		f = newFixture()
+		go f.sync.FollowConfiguration(f.ctx)
+		f.expectVersion(1)
+	})
+
+	It("is followed by a watch", func() {
+		f.fake.set(func() { f.fake.version = 5 })
+		f.expectVersion(5)
+		Expect(f.sync.ConfigurationRead()).To(BeTrue())
+	})
+
+	It("is read anew when the store has dropped its history", func() {
+		f.fake.set(func() {
+			f.fake.deaf = true
+			f.fake.version = 6
+			f.fake.compacted = true
+		})
+		f.expectVersion(6)
+	})
+
+	// Watches of 15 s heard nothing while the store dropped its history, so that a
+	// withdrawn key worked for longer than 4 s.
+	It("is found by the next watch when one was deaf", func() {
+		f.fake.set(func() {
+			f.fake.deaf = true
+			f.fake.version = 7
+		})
+		Consistently(f.version).WithTimeout(50 * time.Millisecond).Should(Equal(uint64(1)))
+		f.fake.set(func() { f.fake.deaf = false })
+		f.expectVersion(7)
+	})
+
+	It("is found after an outage of the store", func() {
+		f.fake.set(func() {
+			f.fake.down = true
+			f.fake.version = 8
+		})
+		Eventually(f.sync.SteadyFor).Should(BeZero())
+		f.fake.set(func() { f.fake.down = false })
+		f.expectVersion(8)
+		Eventually(f.sync.Reached).Should(BeTrue())
+	})
+})
+
+var _ = Describe("the endpoints' reports", func() {
+	It("are read in full at the start and on demand, and else with a cheap read", func() {
+		f := newFixture()
+		go f.sync.FollowReports(f.ctx)
+		Eventually(func() int { return len(f.view.Endpoints().ByID) }).Should(Equal(1))
+		f.sync.Poll()
+		Eventually(func() []bool {
+			f.fake.mu.Lock()
+			defer f.fake.mu.Unlock()
+			return append([]bool(nil), f.fake.staleness...)
+		}).WithTimeout(4 * time.Second).Should(HaveExactElements(false, false, true))
+	})
+})
+
+var _ = Describe("the registration", func() {
+	It("is made, and removed at the end", func() {
+		f := newFixture()
+		done := make(chan struct{})
+		go func() {
+			f.sync.Register(f.ctx)
+			close(done)
+		}()
+		go f.sync.FollowFleet(f.ctx)
+		Eventually(func() int { return len(f.view.VMs().ByName) }).WithTimeout(3 * time.Second).Should(Equal(1))
+		Expect(f.view.VMs().ByName["self"].Incarnation).To(Equal("1"))
+		f.stop()
+		Eventually(done).Should(BeClosed())
+		Expect(f.fake.keys("amaranthdock/vms/")).To(BeEmpty())
+	})
+
+	It("is made anew when the lease has lapsed", func() {
+		f := newFixture()
+		go f.sync.Register(f.ctx)
+		Eventually(func() []string { return f.fake.keys("amaranthdock/vms/") }).Should(HaveLen(1))
+		f.fake.mu.Lock()
+		var leases []uint64
+		for lease := range f.fake.leases {
+			leases = append(leases, lease)
+		}
+		f.fake.mu.Unlock()
+		for _, lease := range leases {
+			f.fake.lapse(lease)
+		}
+		Expect(f.fake.keys("amaranthdock/vms/")).To(BeEmpty())
+		Eventually(func() []string { return f.fake.keys("amaranthdock/vms/") }).WithTimeout(4 * time.Second).Should(HaveLen(1))
+	})
+
+	It("of another VM that cannot be read is passed over", func() {
+		f := newFixture()
+		f.fake.set(func() {
+			item := f.fake.items["amaranthdock/vms/broken"]
+			item.Key = "amaranthdock/vms/broken"
+			item.Value = []byte("{")
+			f.fake.items[item.Key] = item
+		})
+		go f.sync.Register(f.ctx)
+		go f.sync.FollowFleet(f.ctx)
+		Eventually(func() int { return len(f.view.VMs().ByName) }).WithTimeout(3 * time.Second).Should(Equal(1))
+	})
+})
