Serve without a registration when the store is away at the start; test the whole path

Found by the new test of the whole path: a VM that lost the store before it saw its own registration had no part of any limit and refused everything.

--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -180,6 +180,7 @@
 		Home:     f.fleet,
 		Links:    f.fleet,
 		Limits:   f.fleet,
+		Joined:   func() bool { return len(f.view.VMs().ByName) > 0 },
 		Timer:    timer.NewSystem(),
 		Log:      logr.Discard(),
 		Registry: metrics.NewRegistry(),
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -40,10 +40,12 @@
 
 // Config configures Sessions.
 type Config struct {
-	View     *view.View
-	Home     Home
-	Links    Links
-	Limits   Limits
+	View   *view.View
+	Home   Home
+	Links  Links
+	Limits Limits
+	// Joined tells whether this VM knows its place in the fleet.
+	Joined   func() bool
 	Timer    timer.Service
 	Log      logr.Logger
 	Registry metrics.Registry
@@ -122,8 +124,7 @@
 	if s.joined.Load() {
 		return true
 	}
-	_, registered := s.config.View.VMs().ByName[s.config.View.Self().Name]
-	if registered && s.config.View.Configuration() != nil {
+	if s.config.View.Configuration() != nil && s.config.Joined() {
 		s.joined.Store(true)
 	}
 	return s.joined.Load()
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -62,6 +62,9 @@
 	// admitted.
 	Tolerance float64
 	Window    time.Duration
+	// Unregistered returns how many VMs this one knows of, itself included, while it
+	// serves without a registration because the store is away; 0 otherwise.
+	Unregistered func() int
 }
 
 // Limits admits requests. It is safe for concurrent use.
@@ -82,9 +85,10 @@
 	// made is set once this VM has seen itself in the fleet, and so knows its part.
 	made bool
 	// limit and fleet from which the bucket was made.
-	limit   limits.Limit
-	fleet   *catalog.VMs
-	holders []catalog.VM
+	limit        limits.Limit
+	fleet        *catalog.VMs
+	holders      []catalog.VM
+	unregistered int
 
 	credit int64
 	// creditUntil is a reading of the clock that goes on while the VM is suspended.
@@ -215,23 +219,16 @@
 		w = &workspace{measuredAt: now}
 		l.workspaces[name] = w
 	}
-	if w.fleet != fleet || w.limit != limit {
+	unregistered := l.config.Unregistered()
+	if w.fleet != fleet || w.limit != limit || w.unregistered != unregistered {
+		w.unregistered = unregistered
 		w.fleet = fleet
 		w.limit = limit
 		w.holders = holders(name, limit.Holders(), fleet)
-		part := int64(0)
-		for _, vm := range w.holders {
-			if vm.Name == l.config.Fleet.Self().Name {
-				part = limits.Whole / int64(len(w.holders))
-			}
-		}
+		part := l.part(w)
 		capacity, rate := limit.Of(part)
-		_, registered := fleet.ByName[l.config.Fleet.Self().Name]
 		if !w.made {
-			w.made = registered
-			if !registered {
-				capacity, rate = 0, 0
-			}
+			w.made = part > 0
 			w.bucket = limits.NewBucket(l.emptyAt.Add(-l.tolerated(limit)), capacity, rate)
 		}
 		l.config.Log.Info("The part of a workspace's limit changed.", "workspace", name, "rate", limit.Rate, "burst", limit.Burst,
@@ -241,6 +238,20 @@
 	return w, true
 }
 
+// part of this VM in a workspace's limit, in millionths. A VM that had to start without
+// the store takes no more than each VM of a small fleet would.
+func (l *Limits) part(w *workspace) int64 {
+	if w.unregistered > 0 {
+		return limits.Whole / int64(max(w.unregistered, limits.MaxHolders))
+	}
+	for _, vm := range w.holders {
+		if vm.Name == l.config.Fleet.Self().Name {
+			return limits.Whole / int64(len(w.holders))
+		}
+	}
+	return 0
+}
+
 // tolerated is the time in which a limit's rate yields what the fleet may pass it by.
 func (l *Limits) tolerated(limit limits.Limit) time.Duration {
 	if limit.Rate <= 0 {
--- a/engine/lending/lending_test.go
+++ b/engine/lending/lending_test.go
@@ -33,6 +33,7 @@
 	vms           *catalog.VMs
 	limits        map[string]*lending.Limits
 	down          map[string]bool
+	unregistered  int
 	// late delays the answers of loans.
 	late time.Duration
 }
@@ -128,6 +129,11 @@
 		Registry:  metrics.NewRegistry(),
 		Tolerance: tolerance,
 		Window:    5 * time.Second,
+		Unregistered: func() int {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.unregistered
+		},
 	})
 	limits.Warm()
 	f.mu.Lock()
@@ -263,4 +269,16 @@
 		f.register(1)
 		Expect(f.flood(name(0))).To(BeNumerically(">", 50))
 	})
+
+	// All VMs may have lost power while the store is away.
+	It("give a small part to a VM that has to start without the store", func() {
+		for _, known := range []int{1, 40} {
+			f := newFleet(1, rate, burst)
+			f.register(0)
+			f.unregistered = known
+			f.restart(name(0), 0.1)
+			f.clock.Advance(10 * time.Second)
+			expectAdmitted(f.flood(name(0)), 1, burst/8+1)
+		}
+	})
 })
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -169,6 +169,19 @@
 	v.heard[name] = v.config.Timer.Boot()
 }
 
+// HeardVMs returns how many other VMs were heard from lately.
+func (v *View) HeardVMs() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	count := 0
+	for _, at := range v.heard {
+		if v.config.Timer.Boot()-at < heardLife {
+			count++
+		}
+	}
+	return count
+}
+
 // VMsRevision returns the revision of the newest registrations.
 func (v *View) VMsRevision() uint64 {
 	v.mu.Lock()
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -132,13 +132,14 @@
 func (v *VM) joinDeciders() {
 	c := v.config
 	v.limits = lending.New(lending.Config{
-		Fleet:     v.view,
-		Lender:    v.links,
-		Timer:     c.Timer,
-		Log:       c.Log.WithName("lending"),
-		Registry:  c.Registry,
-		Tolerance: c.LimitTolerance,
-		Window:    c.LimitWindow,
+		Fleet:        v.view,
+		Lender:       v.links,
+		Timer:        c.Timer,
+		Log:          c.Log.WithName("lending"),
+		Registry:     c.Registry,
+		Tolerance:    c.LimitTolerance,
+		Window:       c.LimitWindow,
+		Unregistered: v.unregistered,
 	})
 	v.gossip = gossip.New(gossip.Config{
 		View:  v.view,
@@ -165,6 +166,7 @@
 		Home:     v.home,
 		Links:    v.links,
 		Limits:   v.limits,
+		Joined:   func() bool { return v.registered() || v.unregistered() > 0 },
 		Timer:    c.Timer,
 		Log:      c.Log.WithName("caller"),
 		Registry: c.Registry,
@@ -283,6 +285,22 @@
 	}
 }
 
+// registered tells whether the fleet knows this VM.
+func (v *VM) registered() bool {
+	_, ok := v.view.VMs().ByName[v.config.Self.Name]
+	return ok
+}
+
+// unregistered returns how many VMs this one has heard from, itself included, while it
+// serves without a registration because it has not reached the store since its start;
+// 0 otherwise.
+func (v *VM) unregistered() int {
+	if v.registered() || v.store.Reached() || v.config.Timer.Boot()-v.started < storelessWait {
+		return 0
+	}
+	return v.view.HeardVMs() + 1
+}
+
 func (v *VM) jitter() float64 {
 	v.randomMu.Lock()
 	defer v.randomMu.Unlock()
