--- a/engine/caller/connections.go
+++ b/engine/caller/connections.go
@@ -21,9 +21,8 @@
 type Connections struct {
 	timer timer.Service
 
-	mu      sync.Mutex
-	open    map[Connection]struct{}
-	leaving bool
+	mu   sync.Mutex
+	open map[Connection]struct{}
 	// ending marks the idle connections that are to be closed now.
 	ending map[Connection]struct{}
 }
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -175,7 +175,7 @@
 	}
 	reply := replies[position]
 	n.put(c, replies[len(replies)-1].State == statement.Idle)
-	return ranFrom(request, reply, request.Write || request.Fenced), false
+	return ranFrom(reply, request.Write || request.Fenced), false
 }
 
 // minRetryTime is the least time that is worth another try of a read.
--- a/engine/endpoint/result.go
+++ b/engine/endpoint/result.go
@@ -23,7 +23,7 @@
 }
 
 // ranFrom translates an endpoint's reply to a statement.
-func ranFrom(request *peer.Run, reply Reply, provesPrimary bool) *peer.Ran {
+func ranFrom(reply Reply, provesPrimary bool) *peer.Ran {
 	if reply.Problem != nil {
 		return &peer.Ran{
 			Refused:  refusedBy(reply.Problem),
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -169,7 +169,7 @@
 	}
 	t.node.answered()
 	t.wrote = t.wrote || request.Write
-	result := ranFrom(request, replies[0], !t.readOnly)
+	result := ranFrom(replies[0], !t.readOnly)
 	if result.Refused != nil {
 		result.Failed = true
 		if replies[0].Problem.Code == NotPrimary {
@@ -194,7 +194,7 @@
 		if reply.Problem == nil || reply.Problem.Code != Busy || reply.State != statement.InTransaction ||
 			deadline.Sub(h.config.Timer.Now()) < minRetryTime {
 			t.ended = reply.State != statement.Idle
-			return ranFrom(request, reply, t.wrote)
+			return ranFrom(reply, t.wrote)
 		}
 		h.pauseBusy()
 	}
