--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -27,7 +27,7 @@
 const (
 	// registrationLife is the lease of a VM's registration. A VM that is gone stays a
 	// candidate for homes and limits for this long; others pass over it meanwhile.
-	registrationLife = 6 * time.Second
+	registrationLife = 4 * time.Second
 	// renewals in one life of a lease.
 	renewals = 3
 )
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -46,7 +46,7 @@
 
 // heardLife is how long a VM whose registration is missing stays in the fleet after
 // it was heard from: longer than a round of questions to all VMs of a small fleet.
-const heardLife = 8 * time.Second
+const heardLife = 4 * time.Second
 
 // New returns a View that knows nothing but this VM.
 func New(config Config) *View {
