--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -219,7 +219,7 @@
 	homes := d.session.sessions.config.View.Homes(target)
 	var last *peer.Ran
 	for _, home := range homes[:min(len(homes), maxHomes)] {
-		d.request.Target = target
+		d.request.Endpoint = target.Key.ID
 		d.request.Timeout = d.remaining()
 		if d.request.Timeout < minRemaining {
 			break
--- a/engine/caller/dispatch_test.go
+++ b/engine/caller/dispatch_test.go
@@ -17,7 +17,7 @@
 func refuseAt(e *refusal.Error, ids ...string) func(string, *peer.Run) (*peer.Ran, error) {
 	return func(_ string, r *peer.Run) (*peer.Ran, error) {
 		for _, id := range ids {
-			if r.Target.Key.ID == id && r.Step != peer.Position {
+			if r.Endpoint == id && r.Step != peer.Position {
 				copied := *e
 				return &peer.Ran{Refused: &copied}, nil
 			}
@@ -35,7 +35,7 @@
 		f.sampled(90)
 		expectServed(do(f.open("strict"), statement.Read{}, "READ a"), statement.Idle)
 		run := f.fleet.lastRun()
-		Expect(run.Target.Key.ID).To(Equal("p"))
+		Expect(run.Endpoint).To(Equal("p"))
 		Expect(run.Fenced).To(BeTrue())
 	})
 
@@ -43,7 +43,7 @@
 		f.sampled(90)
 		expectServed(do(f.open("bounded"), statement.Read{}, "READ a"), statement.Idle)
 		run := f.fleet.lastRun()
-		Expect(run.Target.Key.ID).To(HavePrefix("r"))
+		Expect(run.Endpoint).To(HavePrefix("r"))
 		Expect(run.After).To(Equal(logpos.Position{
 			Term:  3,
 			Index: 90,
@@ -54,7 +54,7 @@
 	It("without a recent position run at the primary", func() {
 		expectServed(do(f.open("bounded"), statement.Read{}, "READ a"), statement.Idle)
 		run := f.fleet.lastRun()
-		Expect(run.Target.Key.ID).To(Equal("p"))
+		Expect(run.Endpoint).To(Equal("p"))
 		Expect(run.Fenced).To(BeTrue())
 	})
 
@@ -87,7 +87,7 @@
 		f.fleet.answer = refuseAt(refusal.NewNotRun(refusal.ReplicaBehind, "behind"), "r1", "r2")
 		expectServed(do(f.open("bounded"), statement.Read{}, "READ a"), statement.Idle)
 		Expect(f.fleet.steps()).To(HaveLen(3))
-		Expect(f.fleet.lastRun().Target.Key.ID).To(Equal("p"))
+		Expect(f.fleet.lastRun().Endpoint).To(Equal("p"))
 	})
 
 	It("are run again elsewhere when a home is lost", func() {
@@ -109,7 +109,7 @@
 		do(s, statement.Begin{ReadOnly: true}, "BEGIN READ")
 		expectServed(do(s, statement.Read{}, "READ a"), statement.InTransaction)
 		run := f.fleet.lastRun()
-		Expect(run.Target.Key.ID).To(HavePrefix("r"))
+		Expect(run.Endpoint).To(HavePrefix("r"))
 		Expect(run.ReadOnly).To(BeTrue())
 		Expect(run.After.IsZero()).To(BeFalse())
 	})
@@ -120,7 +120,7 @@
 		do(s, statement.Begin{ReadOnly: true}, "BEGIN READ")
 		expectServed(do(s, statement.Read{}, "READ a"), statement.InTransaction)
 		run := f.fleet.lastRun()
-		Expect(run.Target.Key.ID).To(Equal("p"))
+		Expect(run.Endpoint).To(Equal("p"))
 		Expect(run.ReadOnly).To(BeFalse())
 	})
 })
@@ -164,7 +164,7 @@
 		var answer statement.Answer
 		Eventually(answered).Should(Receive(&answer))
 		expectServed(answer, statement.Idle)
-		Expect(f.fleet.lastRun().Target.Key.ID).To(Equal("r1"))
+		Expect(f.fleet.lastRun().Endpoint).To(Equal("r1"))
 	})
 
 	It("do not try the old primary while a promotion is under way", func() {
--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -52,12 +52,12 @@
 // served is a success at position 3/100.
 func served(request *peer.Run) *peer.Ran {
 	return &peer.Ran{
-		Signature: "signed by " + request.Target.Key.ID,
+		Signature: "signed by " + request.Endpoint,
 		Position: logpos.Position{
 			Term:  3,
 			Index: 100,
 		},
-		ProvedPrimary: request.Target.Key.ID == "p" && (request.Write || request.Fenced || request.Step == peer.Position),
+		ProvedPrimary: request.Endpoint == "p" && (request.Write || request.Fenced || request.Step == peer.Position),
 	}
 }
 
@@ -92,7 +92,7 @@
 	var steps []string
 	for _, r := range f.runs {
 		if r.Step != peer.Position {
-			steps = append(steps, r.Target.Key.ID+" "+r.Text)
+			steps = append(steps, r.Endpoint+" "+r.Text)
 		}
 	}
 	return steps
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -67,9 +67,8 @@
 	t := s.transaction
 	forward.Step = peer.First
 	forward.Transaction = peer.TransactionKey{
-		VM:          s.sessions.config.View.Self().Name,
-		Incarnation: s.sessions.config.View.Self().Incarnation,
-		Number:      s.sessions.sequences.last.Add(1),
+		Process: s.sessions.config.View.Self().Incarnation,
+		Number:  s.sessions.sequences.last.Add(1),
 	}
 	d := s.dispatch(t.admission, forward, started)
 	ran := d.run(ctx)
@@ -88,7 +87,7 @@
 // next runs a further statement, or the commit, of the open transaction.
 func (s *Session) next(ctx context.Context, request statement.Request, forward *peer.Run, started time.Time) statement.Answer {
 	t := s.transaction
-	forward.Target = t.endpoint
+	forward.Endpoint = t.endpoint.Key.ID
 	forward.Transaction = t.key
 	forward.Timeout = timeoutOf(t.admission.route)
 	ran, err := s.sessions.call(ctx, t.home, forward)
@@ -153,7 +152,7 @@
 	request := &peer.Run{
 		Step:        peer.RollbackStep,
 		Transaction: t.key,
-		Target:      t.endpoint,
+		Endpoint:    t.endpoint.Key.ID,
 		Timeout:     timeoutOf(t.admission.route),
 	}
 	go func() {
--- a/engine/caller/sample.go
+++ b/engine/caller/sample.go
@@ -57,7 +57,7 @@
 	request := &peer.Run{
 		Step:           peer.Position,
 		Workspace:      publicWorkspace,
-		Target:         primary,
+		Endpoint:       primary.Key.ID,
 		MaxConnections: configuration.Databases[database].MaxConnections,
 		Timeout:        sampleTimeout,
 	}
--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -114,7 +114,7 @@
 	Region     string
 	Address    netip.AddrPort
 	// Incarnation differs for each start of the process.
-	Incarnation string
+	Incarnation uint64
 }
 
 // VMs is a revision of the fleet's registrations, with the VM that holds the
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -192,6 +192,7 @@
 		Timer:     timer.NewSystem(),
 		Log:       logr.Discard(),
 		Registry:  metrics.NewRegistry(),
+		Lookup:    func(id string) (catalog.Endpoint, bool) { return target, id == target.Key.ID },
 		FirstHome: func(catalog.Endpoint) bool { return true },
 	})
 }
@@ -206,7 +207,7 @@
 func request(step peer.Step, text string, change ...func(*peer.Run)) *peer.Run {
 	r := &peer.Run{
 		Workspace:       "ws",
-		Target:          target,
+		Endpoint:        target.Key.ID,
 		MaxConnections:  10,
 		Step:            step,
 		ID:              "id1",
@@ -217,8 +218,8 @@
 	}
 	if step != peer.Single {
 		r.Transaction = peer.TransactionKey{
-			VM:     "vm1",
-			Number: 1,
+			Process: 7,
+			Number:  1,
 		}
 	}
 	for _, c := range change {
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -34,6 +34,8 @@
 	Log    logr.Logger
 	// Registry of the metrics.
 	Registry metrics.Registry
+	// Lookup returns what an endpoint reports of itself.
+	Lookup func(id string) (catalog.Endpoint, bool)
 	// FirstHome tells whether this VM is ranked first for the endpoint.
 	FirstHome func(catalog.Endpoint) bool
 	// Unanswered is told of endpoints that did not answer; may be nil.
@@ -76,8 +78,11 @@
 	h.config.Metrics.statements.Inc(1)
 	began := h.config.Timer.Boot()
 	ran := h.run(ctx, request)
-	if ran.ProvedPrimary && request.Step != peer.Position {
-		h.node(request).take(staleness.Sample{
+	if !ran.ProvedPrimary || request.Step == peer.Position {
+		return ran
+	}
+	if n, err := h.node(request); err == nil {
+		n.take(staleness.Sample{
 			At:       began,
 			Position: ran.Position,
 		})
@@ -103,29 +108,37 @@
 	}
 }
 
-// node returns the node of an endpoint, with its limit brought up to date.
-func (h *Home) node(request *peer.Run) *node {
+// node returns the node of an endpoint, with its limit brought up to date. The view of
+// the home may be behind that of the VM which asks.
+func (h *Home) node(request *peer.Run) (*node, error) {
+	target, known := h.config.Lookup(request.Endpoint)
+	if !known {
+		return nil, refusal.NewNotRun(refusal.NotReady, "the home does not know the endpoint yet")
+	}
 	h.mu.Lock()
-	n, ok := h.nodes[request.Target.Key]
+	n, ok := h.nodes[target.Key]
 	if !ok {
-		n = newNode(&h.config, request.Target)
-		h.nodes[request.Target.Key] = n
+		n = newNode(&h.config, target)
+		h.nodes[target.Key] = n
 	}
 	h.mu.Unlock()
 	share := homeShare
-	if !h.config.FirstHome(request.Target) {
+	if !h.config.FirstHome(target) {
 		share = otherShare
 	}
 	n.setLimit(int(share * float64(request.MaxConnections)))
-	return n
+	return n, nil
 }
 
 // single runs a statement outside of a transaction. Reads without an answer are run
 // again on another connection while their time allows.
 func (h *Home) single(ctx context.Context, request *peer.Run, deadline time.Time) *peer.Ran {
-	n := h.node(request)
+	n, err := h.node(request)
+	if err != nil {
+		return refusedError(err)
+	}
 	var result *peer.Ran
-	err := n.inSlot(ctx, request, deadline, func() bool {
+	err = n.inSlot(ctx, request, deadline, func() bool {
 		for {
 			var retry bool
 			result, retry = h.singleOnce(ctx, n, request, deadline)
@@ -237,7 +250,7 @@
 	}
 	h.mu.Unlock()
 	for _, t := range forgotten {
-		h.config.Log.Info("Rolling back a transaction that rests too long.", "vm", t.key.VM, "endpoint", t.node.target.Key.ID)
+		h.config.Log.Info("Rolling back a transaction that rests too long.", "process", t.key.Process, "endpoint", t.node.target.Key.ID)
 		h.finish(t, true)
 	}
 	for _, n := range unused {
--- a/engine/endpoint/position.go
+++ b/engine/endpoint/position.go
@@ -15,7 +15,10 @@
 // position returns a recent position of the endpoint, if it leads its database. A
 // transaction that is opened and rolled back takes no slot.
 func (h *Home) position(ctx context.Context, request *peer.Run, deadline time.Time) *peer.Ran {
-	n := h.node(request)
+	n, err := h.node(request)
+	if err != nil {
+		return refusedError(err)
+	}
 	if sample, ok := n.sampled(h.config.Timer.Boot()); ok {
 		return &peer.Ran{
 			Position:      sample.Position,
@@ -26,7 +29,6 @@
 	began := h.config.Timer.Boot()
 	c := n.takeAny()
 	if c == nil {
-		var err error
 		if c, err = n.connection(ctx, request.Workspace, deadline); err != nil {
 			return refusedError(err)
 		}
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -29,7 +29,10 @@
 // begin opens the session's transaction and runs its first statement. If that does
 // not succeed, nothing stays open.
 func (h *Home) begin(ctx context.Context, request *peer.Run, deadline time.Time) *peer.Ran {
-	n := h.node(request)
+	n, err := h.node(request)
+	if err != nil {
+		return refusedError(err)
+	}
 	if err := n.pin(ctx, deadline); err != nil {
 		return refusedError(err)
 	}
@@ -43,7 +46,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var result *peer.Ran
-	err := n.inSlot(ctx, request, deadline, func() bool {
+	err = n.inSlot(ctx, request, deadline, func() bool {
 		result = h.open(ctx, t, request, deadline)
 		return answeredBy(result)
 	})
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,11 @@
 type Part struct {
 	config  Config
 	leaving atomic.Bool
+
+	// digest is that of digestOf.
+	mu       sync.Mutex
+	digestOf *catalog.Endpoints
+	digest   uint64
 }
 
 // New returns a Part that does nothing yet.
@@ -102,11 +108,10 @@
 func (p *Part) exchange(ctx context.Context, vm catalog.VM) {
 	v := p.config.View
 	question := &peer.News{
-		From:              v.Self(),
-		Leaving:           p.leaving.Load(),
-		EndpointsRevision: v.Endpoints().Revision,
-		VMsRevision:       v.VMsRevision(),
-		WithStore:         p.config.Store.Reached(),
+		From:      v.Self(),
+		Leaving:   p.leaving.Load(),
+		Endpoints: p.endpoints(),
+		VMs:       p.vms(),
 	}
 	if c := v.Configuration(); c != nil {
 		question.ConfigVersion = c.Version
@@ -124,12 +129,13 @@
 	if answer.Endpoints != nil {
 		v.AcceptEndpoints(answer.Endpoints, answer.From.Name)
 	}
+	v.ConfirmEndpoints(answer.EndpointsRevision)
 	if answer.VMs != nil {
 		v.AcceptVMs(answer.VMs, answer.From.Name)
 	}
 }
 
-// News answers another VM. One that reaches the store reads the reports itself.
+// News answers another VM.
 func (p *Part) News(question *peer.News) peer.NewsReply {
 	v := p.config.View
 	v.Heard(question.From.Name)
@@ -141,16 +147,39 @@
 	if c := v.Configuration(); c != nil && c.Version > question.ConfigVersion {
 		answer.Config = c
 	}
-	if question.WithStore {
-		return answer
-	}
-	if e := v.Endpoints(); e.Revision > question.EndpointsRevision {
-		answer.Endpoints = e
+	if known := p.endpoints(); known.Revision > question.Endpoints.Revision {
+		answer.EndpointsRevision = known.Revision
+		if known.Digest != question.Endpoints.Digest {
+			answer.Endpoints = v.Endpoints()
+		}
 	}
-	if revision := v.VMsRevision(); revision > question.VMsRevision {
+	if known := p.vms(); known.Revision > question.VMs.Revision && known.Digest != question.VMs.Digest {
 		vms := *v.VMs()
-		vms.Revision = revision
+		vms.Revision = known.Revision
 		answer.VMs = &vms
 	}
 	return answer
 }
+
+// endpoints returns what this VM knows of the endpoints.
+func (p *Part) endpoints() peer.Known {
+	current := p.config.View.Endpoints()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.digestOf != current {
+		p.digestOf = current
+		p.digest = current.Digest()
+	}
+	return peer.Known{
+		Revision: current.Revision,
+		Digest:   p.digest,
+	}
+}
+
+// vms returns what this VM knows of the fleet.
+func (p *Part) vms() peer.Known {
+	return peer.Known{
+		Revision: p.config.View.VMsRevision(),
+		Digest:   p.config.View.VMs().Digest(),
+	}
+}
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -32,10 +32,9 @@
 
 // TransactionKey identifies a transaction in the fleet.
 type TransactionKey struct {
-	// VM and Incarnation are those of the VM that holds the caller's connection.
-	VM          string
-	Incarnation string
-	Number      uint64
+	// Process is the incarnation of the VM that holds the caller's connection.
+	Process uint64
+	Number  uint64
 }
 
 // Run asks the home of an endpoint to run a statement there.
@@ -45,7 +44,9 @@
 	// TransactionIdle is how long the transaction may rest between statements.
 	TransactionIdle time.Duration
 	Workspace       string
-	Target          catalog.Endpoint
+	// Endpoint is the id; homes know the rest, and messages stay short for the link
+	// between regions.
+	Endpoint string
 	// MaxConnections that the endpoint accepts from the whole fleet.
 	MaxConnections int
 	Step           Step
@@ -101,21 +102,27 @@
 type News struct {
 	From catalog.VM
 	// Leaving tells that the asking VM takes no new work.
-	Leaving           bool
-	ConfigVersion     uint64
-	EndpointsRevision uint64
-	VMsRevision       uint64
-	// WithStore tells whether the asking VM reached the store lately.
-	WithStore bool
+	Leaving       bool
+	ConfigVersion uint64
+	Endpoints     Known
+	VMs           Known
+}
+
+// Known is a revision with the digest of its content.
+type Known struct {
+	Revision uint64
+	Digest   uint64
 }
 
-// NewsReply holds what is newer than the asking VM's knowledge.
+// NewsReply holds what is newer than the asking VM's knowledge. A newer revision with
+// the same content is told by its number alone.
 type NewsReply struct {
-	From      catalog.VM
-	Leaving   bool
-	Config    *catalog.Configuration
-	Endpoints *catalog.Endpoints
-	VMs       *catalog.VMs
+	From              catalog.VM
+	Leaving           bool
+	Config            *catalog.Configuration
+	Endpoints         *catalog.Endpoints
+	EndpointsRevision uint64
+	VMs               *catalog.VMs
 }
 
 // Suspicion tells the leader that a home does not reach an endpoint, or asks another
--- a/engine/peer/peer_test.go
+++ b/engine/peer/peer_test.go
@@ -198,13 +198,7 @@
 			Step:     peer.Single,
 			Prepared: &statement.Prepared{Shape: "q"},
 			Values:   map[string]string{"tz": "utc"},
-			Target: catalog.Endpoint{
-				Key: catalog.EndpointKey{
-					ID:   "e1",
-					Born: time.UnixMilli(1234).UTC(),
-				},
-				Address: netip.MustParseAddrPort("127.0.0.1:9"),
-			},
+			Endpoint: "e1",
 			After: logpos.Position{
 				Term:  3,
 				Index: 9,
@@ -273,12 +267,12 @@
 
 	It("of a VM that is gone leave none of its transactions open", func() {
 		open := peer.TransactionKey{
-			VM:     "vm1",
-			Number: 5,
+			Process: 7,
+			Number:  5,
 		}
 		ended := peer.TransactionKey{
-			VM:     "vm1",
-			Number: 4,
+			Process: 7,
+			Number:  4,
 		}
 		for _, request := range []*peer.Run{
 			{
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -223,7 +223,7 @@
 	f.view = view.New(view.Config{
 		Self: catalog.VM{
 			Name:        "self",
-			Incarnation: "1",
+			Incarnation: 1,
 		},
 		Timer: timer.NewSystem(),
 		Log:   logr.Discard(),
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -37,7 +37,7 @@
 	DataCentre  string         `json:"dataCentre"`
 	Region      string         `json:"region"`
 	Address     netip.AddrPort `json:"address"`
-	Incarnation string         `json:"incarnation"`
+	Incarnation uint64         `json:"incarnation"`
 }
 
 // Register keeps this VM registered until the context ends, and then removes the
@@ -121,7 +121,7 @@
 		s.config.View.AcceptVMs(vms, "store")
 		// Before this VM sees itself, it waits for its own registration.
 		_, stale = vms.ByName[s.config.View.Self().Name]
-		s.pause(ctx, s.jittered(pollInterval))
+		s.pause(ctx, s.interval())
 	}
 }
 
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -23,6 +23,13 @@
 	watchPause = 200 * time.Millisecond
 	// pollInterval of the stale reads of reports and registrations.
 	pollInterval = time.Second
+	// farPollInterval where the store is in another region, because the link to it is
+	// billed by volume. Other VMs tell what changed meanwhile.
+	farPollInterval = 3 * time.Second
+	// farTrip there and back is longer than within a region.
+	farTrip = 15 * time.Millisecond
+	// tripGain is the weight of a new trip in the mean.
+	tripGain = 0.3
 	// firstPause after a failed call; it doubles up to maxPause, or up to
 	// maxStartPause while this VM has no configuration and serves nobody.
 	firstPause    = 100 * time.Millisecond
@@ -55,7 +62,9 @@
 	lost    atomic.Int64
 	steady  atomic.Int64
 	// read is set once the configuration was read from the store itself.
-	read     atomic.Bool
+	read atomic.Bool
+	// trip is the mean time of a call, in nanoseconds.
+	trip     atomic.Int64
 	failures metrics.Counter
 	wake     chan struct{}
 }
@@ -159,8 +168,10 @@
 	// The first read has to be right, because a stale one may lack a primary.
 	stale := false
 	for ctx.Err() == nil {
+		asked := s.config.Timer.Now()
 		endpoints, err := s.config.Reports.Read(ctx, stale)
 		s.note(err)
+		s.took(s.config.Timer.Now().Sub(asked))
 		if err != nil {
 			backoff.sleep(ctx)
 			continue
@@ -168,7 +179,7 @@
 		backoff.reset()
 		s.config.View.AcceptEndpoints(endpoints, "store")
 		stale = true
-		interval := s.config.Timer.After(s.jittered(pollInterval))
+		interval := s.config.Timer.After(s.interval())
 		select {
 		case <-interval.C():
 		case <-s.wake:
@@ -179,6 +190,20 @@
 	}
 }
 
+// took measures the trip to the store.
+func (s *Sync) took(trip time.Duration) {
+	mean := s.trip.Load()
+	s.trip.Store(mean + int64(tripGain*float64(int64(trip)-mean)))
+}
+
+// interval between two polls.
+func (s *Sync) interval() time.Duration {
+	if time.Duration(s.trip.Load()) > farTrip {
+		return s.jittered(farPollInterval)
+	}
+	return s.jittered(pollInterval)
+}
+
 func (s *Sync) pause(ctx context.Context, wait time.Duration) {
 	// The error says that the context has ended, which the caller's loop sees too.
 	_ = timer.Sleep(ctx, s.config.Timer, wait)
--- a/engine/store/sync_test.go
+++ b/engine/store/sync_test.go
@@ -79,7 +79,7 @@
 		}()
 		go f.sync.FollowFleet(f.ctx)
 		Eventually(func() int { return len(f.view.VMs().ByName) }).WithTimeout(3 * time.Second).Should(Equal(1))
-		Expect(f.view.VMs().ByName["self"].Incarnation).To(Equal("1"))
+		Expect(f.view.VMs().ByName["self"].Incarnation).To(Equal(uint64(1)))
 		f.stop()
 		Eventually(done).Should(BeClosed())
 		Expect(f.fake.keys("amaranthdock/vms/")).To(BeEmpty())
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -37,7 +37,7 @@
 	mu        sync.Mutex
 	changed   chan struct{}
 	databases map[string]*database
-	leaving   map[string]string
+	leaving   map[string]uint64
 	homes     map[string][]catalog.VM
 	// heard holds when each VM was heard from last.
 	heard       map[string]time.Duration
@@ -54,7 +54,7 @@
 		config:    config,
 		changed:   make(chan struct{}),
 		databases: map[string]*database{},
-		leaving:   map[string]string{},
+		leaving:   map[string]uint64{},
 		homes:     map[string][]catalog.VM{},
 		heard:     map[string]time.Duration{},
 	}
@@ -109,6 +109,19 @@
 	return true
 }
 
+// ConfirmEndpoints takes another VM's word that nothing has changed up to a revision.
+func (v *View) ConfirmEndpoints(revision uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	current := v.endpoints.Load()
+	if revision > current.Revision {
+		v.endpoints.Store(&catalog.Endpoints{
+			Revision: revision,
+			ByID:     current.ByID,
+		})
+	}
+}
+
 // logEndpoints writes a line for each endpoint that came, went or changed its role
 // or state.
 func (v *View) logEndpoints(old, current *catalog.Endpoints, source string) {
@@ -190,7 +203,7 @@
 }
 
 // SetLeaving records whether an incarnation of a VM takes no new work.
-func (v *View) SetLeaving(vm, incarnation string, leaving bool) {
+func (v *View) SetLeaving(vm string, incarnation uint64, leaving bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	known, ok := v.leaving[vm]
@@ -218,6 +231,12 @@
 	v.changed = make(chan struct{})
 }
 
+// Endpoint returns what an endpoint reports of itself.
+func (v *View) Endpoint(id string) (catalog.Endpoint, bool) {
+	e, ok := v.endpoints.Load().ByID[id]
+	return e, ok
+}
+
 // Present tells whether an endpoint is reported under this key.
 func (v *View) Present(key catalog.EndpointKey) bool {
 	e, ok := v.endpoints.Load().ByID[key.ID]
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -50,7 +50,7 @@
 		Name:        name,
 		DataCentre:  dataCentre,
 		Region:      dataCentre[:1],
-		Incarnation: "1",
+		Incarnation: 1,
 	}
 }
 
@@ -142,7 +142,7 @@
 	It("of a VM that has left does not outlive its registration", func() {
 		f.AcceptVMs(fleet(1, vm("self", "a1"), vm("b", "a2")), "test")
 		f.Heard("b")
-		f.SetLeaving("b", "1", true)
+		f.SetLeaving("b", 1, true)
 		f.AcceptVMs(fleet(2, vm("self", "a1")), "test")
 		Expect(f.VMs().ByName).NotTo(HaveKey("b"))
 	})
@@ -175,10 +175,10 @@
 	})
 
 	It("pass over a VM that is leaving, until it starts anew", func() {
-		f.SetLeaving("near", "1", true)
+		f.SetLeaving("near", 1, true)
 		f.expectHomes("self", "far", "near")
 		again := vm("near", "a2")
-		again.Incarnation = "2"
+		again.Incarnation = 2
 		f.AcceptVMs(fleet(2, vm("self", "a1"), again, vm("far", "b1")), "test")
 		f.expectHomes("near", "self", "far")
 	})
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -121,6 +121,7 @@
 		Timer:      config.Timer,
 		Log:        config.Log.WithName("endpoint"),
 		Registry:   config.Registry,
+		Lookup:     v.view.Endpoint,
 		FirstHome:  v.view.FirstHome,
 		Unanswered: func(target catalog.Endpoint) { v.failover.Unanswered(target) },
 	})
