--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -17,7 +17,7 @@
 	// watchWait of one watch for configurations. A watch may hear nothing of a change
 	// while the store drops its history, so it must end well before the 4 s in which a
 	// configuration has to be in force.
-	watchWait = 2 * time.Second
+	watchWait = 2600 * time.Millisecond
 	// watchPause between two watches, so that configurations in quick succession cost
 	// one call for several.
 	watchPause = 200 * time.Millisecond
@@ -142,7 +142,7 @@
 			}
 			revision = at
 		}
-		configuration, at, err := s.config.Declarations.Watch(ctx, revision, watchWait)
+		configuration, at, err := s.config.Declarations.Watch(ctx, revision, s.jittered(watchWait))
 		s.note(err)
 		switch {
 		case errors.Is(err, ErrCompacted):
