--- a/amaranthctl/commands/app.go
+++ b/amaranthctl/commands/app.go
@@ -95,6 +95,8 @@
 	a.addPreset(k)
 	a.addShow(k)
 	a.addStatus(k)
+	a.addTimeline(k)
+	a.addTrace(k)
 	a.addValidate(k)
 	a.addVersions(k)
 	a.addWorkspace(k)
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -197,6 +197,11 @@
 		final = d.request.Write || d.request.Step == peer.First
 	}
 	v.Answered(target, outcome)
+	if !final {
+		d.session.sessions.config.Log.V(1).Info("Trying a statement again.", "request", d.request.ID, "database", target.Database,
+			"endpoint", target.Key.ID, "home", d.home.Name, "reason", ran.Refused.Reason, "message", ran.Refused.Message,
+			"after", d.request.After.String(), "remaining", d.remaining().String())
+	}
 	if !final && !d.needsPrimary() {
 		d.pass(target)
 	}
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -59,7 +59,7 @@
 	if w.write || (ran.ProvedPrimary && !s.position.IsZero() && ran.Position.Term > s.position.Term) {
 		s.seen(ran.Position)
 	}
-	return s.served(admitted, ran, started)
+	return s.served(admitted, d.request, d.home, ran, started)
 }
 
 // first opens the transaction at an endpoint with its first statement.
@@ -81,7 +81,7 @@
 	t.home = d.home
 	t.required = d.request.After
 	t.wrote = forward.Write
-	return s.served(t.admission, ran, started)
+	return s.served(t.admission, d.request, d.home, ran, started)
 }
 
 // next runs a further statement, or the commit, of the open transaction.
@@ -102,7 +102,7 @@
 		return s.refused(request, t.admission, ran.Refused, started)
 	}
 	t.wrote = t.wrote || forward.Write
-	return s.served(t.admission, ran, started)
+	return s.served(t.admission, forward, t.home, ran, started)
 }
 
 // lostStep answers for a step whose home was lost. The home rolls the transaction
@@ -187,8 +187,13 @@
 	return s.config.Limits.Admit(ctx, a.workspace)
 }
 
-func (s *Session) served(a admission, ran *peer.Ran, started time.Time) statement.Answer {
-	s.sessions.outcomes.served(a.route.Kind, s.sessions.config.Timer.Now().Sub(started))
+// served counts a success and logs where the statement ran and what decided it.
+func (s *Session) served(a admission, request *peer.Run, home catalog.VM, ran *peer.Ran, started time.Time) statement.Answer {
+	took := s.sessions.config.Timer.Now().Sub(started)
+	s.sessions.outcomes.served(a.route.Kind, took)
+	s.sessions.config.Log.V(1).Info("Served a statement.", "request", request.ID, "database", a.route.Database, "workspace", a.workspace,
+		"endpoint", request.Endpoint, "home", home.Name, "step", request.Step.String(), "after", request.After.String(),
+		"position", ran.Position.String(), "provedPrimary", ran.ProvedPrimary, "configuration", a.version, "took", took.String())
 	return s.answer(statement.Answer{
 		Rows:      ran.Rows,
 		Signature: ran.Signature,
--- a/engine/endpoint/node.go
+++ b/engine/endpoint/node.go
@@ -22,6 +22,8 @@
 	maxWait = 500 * time.Millisecond
 	// initialCost of a statement, before the first measurement.
 	initialCost = 30 * time.Millisecond
+	// loggedWait for a slot, above which a statement gets a line in the log.
+	loggedWait = 50 * time.Millisecond
 	// unansweredInterval between two calls of Unanswered for one endpoint.
 	unansweredInterval = 200 * time.Millisecond
 )
@@ -73,9 +75,14 @@
 	if err != nil {
 		return err
 	}
+	arrived := n.config.Timer.Now()
 	if err := n.await(ctx, item, admitted, deadline); err != nil {
 		return err
 	}
+	if waited := n.config.Timer.Now().Sub(arrived); waited > loggedWait {
+		n.config.Log.V(1).Info("A statement waited for a slot.", "request", request.ID, "endpoint", n.target.Key.ID,
+			"database", n.target.Database, "workspace", request.Workspace, "waited", waited.String())
+	}
 	answered := run()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/engine/peer/links.go
+++ b/engine/peer/links.go
@@ -197,6 +197,9 @@
 		l.config.Log.Info("A VM is not reachable.", "peer", k.name, "error", err.Error())
 		return nil, ErrUnreachable
 	}
+	if k.failures > 0 {
+		l.config.Log.Info("A VM is reachable again.", "peer", k.name)
+	}
 	k.failures = 0
 	k.silent.Store(false)
 	k.client = rpc.NewClient(&bounded{
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -30,6 +30,26 @@
 	Position
 )
 
+// String returns the step in camel case.
+func (s Step) String() string {
+	switch s {
+	case Single:
+		return "single"
+	case First:
+		return "first"
+	case Next:
+		return "next"
+	case CommitStep:
+		return "commit"
+	case RollbackStep:
+		return "rollback"
+	case Position:
+		return "position"
+	default:
+		return "unspecified"
+	}
+}
+
 // TransactionKey identifies a transaction in the fleet.
 type TransactionKey struct {
 	// Process is the incarnation of the VM that holds the caller's connection.
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -183,7 +183,7 @@
 // Run runs the parts until the context ends, and then leaves the fleet: open work
 // ends, idle sessions are closed, and the process may end when Run returns.
 func (v *VM) Run(ctx context.Context) error {
-	v.config.Log.Info("Starting.", "vm", v.config.Self.Name, "dataCentre", v.config.Self.DataCentre, "address", v.config.Self.Address.String(),
+	v.config.Log.Info("Starting.", "dataCentre", v.config.Self.DataCentre, "address", v.config.Self.Address.String(),
 		"incarnation", v.config.Self.Incarnation)
 	working, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/observe/logger.go
+++ b/observe/logger.go
@@ -30,16 +30,12 @@
 	if err != nil {
 		return logr.Discard(), eris.Wrap(err, "the log level")
 	}
-	encoding := zap.NewProductionEncoderConfig()
-	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoding.TimeKey = "time"
-	encoding.NameKey = "part"
 	var encoder zapcore.Encoder
 	switch config.Format {
 	case "json":
-		encoder = zapcore.NewJSONEncoder(encoding)
+		encoder = zapcore.NewJSONEncoder(encoding())
 	case "console":
-		encoder = zapcore.NewConsoleEncoder(encoding)
+		encoder = zapcore.NewConsoleEncoder(encoding())
 	default:
 		return logr.Discard(), eris.Errorf("the log format %q is not json or console", config.Format)
 	}
@@ -50,3 +46,12 @@
 	}
 	return logger, nil
 }
+
+// encoding names the fixed fields of a line.
+func encoding() zapcore.EncoderConfig {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.TimeKey = "time"
+	config.NameKey = "part"
+	return config
+}
