Roll back a transaction whose commit the queue refused

The test fails before the change. Ruled out: two goroutines on one connection (the transaction's lock), late answers (a connection without a whole answer is closed).

--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -138,10 +138,12 @@
 	}
 	t.lastUsed = h.config.Timer.Now()
 	switch {
-	case request.Step == peer.CommitStep:
-		h.release(t, !t.ended)
-	case t.ended || result.Failed:
-		h.release(t, !t.ended && rollBackOn(t.pooled))
+	case t.ended:
+		h.release(t, false)
+	case request.Step == peer.CommitStep && err == nil:
+		h.release(t, true)
+	case request.Step == peer.CommitStep || result.Failed:
+		h.release(t, rollBackOn(t.pooled))
 	}
 	return result
 }
--- a/engine/endpoint/transaction_test.go
+++ b/engine/endpoint/transaction_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -89,6 +90,26 @@
 		Expect(tries).To(Equal(3))
 	})
 
+	// A commit that the queue refused left its transaction open on a connection that
+	// went back to the pool, where another session's statement ran inside of it.
+	It("are rolled back when the queue refuses their commit", func() {
+		expectServed(home.Run(ctx, request(peer.First, "WRITE a b")))
+		fake.mu.Lock()
+		fake.hold = make(chan struct{})
+		fake.mu.Unlock()
+		// Two slots, and one statement more, are in use.
+		for range 3 {
+			go home.Run(ctx, request(peer.Single, "READ x"))
+		}
+		Eventually(func() int { return strings.Count(strings.Join(fake.commands(), " "), "READ x") }).Should(Equal(3))
+		short := func(r *peer.Run) { r.Timeout = 60 * time.Millisecond }
+		ran := home.Run(ctx, request(peer.CommitStep, "COMMIT", short))
+		Expect(ran.Refused.Outcome).To(Equal(refusal.NotRun))
+		Expect(fake.commands()).To(ContainElement("rollback"))
+		Expect(fake.commands()).NotTo(ContainElement("commit"))
+		close(fake.hold)
+	})
+
 	It("are rolled back once a statement fails, and their connection is used again", func() {
 		expectServed(home.Run(ctx, request(peer.First, "READ a")))
 		fake.answer = func(c endpoint.Command) (endpoint.Reply, error) {
