--- a/decision/limits/bucket.go
+++ b/decision/limits/bucket.go
@@ -12,6 +12,10 @@
 	rate     float64
 	tokens   float64
 	updated  time.Time
+	// surplus is what a lower capacity has no room for; it may be spent until
+	// surplusUntil.
+	surplus      float64
+	surplusUntil time.Time
 }
 
 // NewBucket returns an empty bucket with a capacity in tokens and a rate in
@@ -27,7 +31,17 @@
 // Available returns the whole tokens.
 func (b *Bucket) Available(now time.Time) int64 {
 	b.refill(now)
-	return int64(b.tokens + rounding)
+	return int64(b.tokens + b.surplus + rounding)
+}
+
+// Lower changes capacity and rate from now on, as Resize does, but what was saved
+// under the old capacity may still be spent until the given time.
+func (b *Bucket) Lower(now time.Time, capacity, rate float64, until time.Time) {
+	b.refill(now)
+	saved := b.tokens + b.surplus
+	b.Resize(now, capacity, rate)
+	b.surplus = saved - b.tokens
+	b.surplusUntil = until
 }
 
 // Resize changes capacity and rate from now on. The tokens stay, up to the new
@@ -42,7 +56,9 @@
 // Take removes up to the given number of whole tokens and returns how many.
 func (b *Bucket) Take(now time.Time, tokens int64) int64 {
 	taken := max(min(tokens, b.Available(now)), 0)
-	b.tokens = max(b.tokens-float64(taken), 0)
+	fromSurplus := min(float64(taken), b.surplus)
+	b.surplus -= fromSurplus
+	b.tokens = max(b.tokens-(float64(taken)-fromSurplus), 0)
 	return taken
 }
 
@@ -50,7 +66,7 @@
 // if it cannot hold them.
 func (b *Bucket) Until(now time.Time, tokens int64) time.Duration {
 	b.refill(now)
-	missing := float64(tokens) - b.tokens
+	missing := float64(tokens) - b.tokens - b.surplus
 	switch {
 	case missing <= rounding:
 		return 0
@@ -66,6 +82,9 @@
 
 // refill ignores a reading that is older than the last one.
 func (b *Bucket) refill(now time.Time) {
+	if !now.Before(b.surplusUntil) {
+		b.surplus = 0
+	}
 	if !now.After(b.updated) {
 		return
 	}
--- a/decision/limits/limits_test.go
+++ b/decision/limits/limits_test.go
@@ -266,3 +266,33 @@
 		}
 	}
 }
+
+var _ = Describe("Lower", func() {
+	start := time.Unix(1000, 0)
+	full := func() limits.Bucket {
+		b := limits.NewBucket(start, 10, 10)
+		b.Available(start.Add(time.Second))
+		return b
+	}
+	now := start.Add(time.Second)
+
+	It("keeps what was saved until the given time", func() {
+		b := full()
+		b.Lower(now, 2, 1, now.Add(3*time.Second))
+		Expect(b.Take(now, 20)).To(Equal(int64(10)))
+		Expect(b.Available(now)).To(BeZero())
+	})
+
+	It("keeps no more than the new capacity after it", func() {
+		b := full()
+		b.Lower(now, 2, 1, now.Add(3*time.Second))
+		Expect(b.Available(now.Add(3 * time.Second))).To(Equal(int64(2)))
+	})
+
+	It("refills by the new rate at once", func() {
+		b := full()
+		b.Lower(now, 2, 1, now.Add(3*time.Second))
+		b.Take(now, 10)
+		Expect(b.Available(now.Add(2 * time.Second))).To(Equal(int64(2)))
+	})
+})
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -36,6 +36,18 @@
 	values    map[string]string
 	names     map[statement.Prepared]string
 	nextName  int
+	// state is the one that the endpoint reported last.
+	state statement.State
+}
+
+// Run runs commands and keeps the state that they leave.
+func (p *pooled) Run(timeout time.Duration, commands []Command) ([]Reply, error) {
+	replies, err := p.Connection.Run(timeout, commands)
+	p.state = statement.Failed
+	if err == nil && len(replies) > 0 {
+		p.state = replies[len(replies)-1].State
+	}
+	return replies, err
 }
 
 // matching returns the commands that give the connection the session's values and
@@ -201,10 +213,11 @@
 	return nil
 }
 
-// put takes a connection back, and closes it unless it can be used again.
+// put takes a connection back, and closes it unless it can be used again. One with an
+// open transaction never is.
 func (n *node) put(c *pooled, reusable bool) {
 	n.mu.Lock()
-	keep := reusable && !n.closed && n.open <= n.limit
+	keep := reusable && c.state == statement.Idle && !n.closed && n.open <= n.limit
 	if keep {
 		n.idle = append(n.idle, c)
 	} else {
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -29,6 +29,10 @@
 	// restartGap is the least time between the end of a process and the start of its
 	// successor, in which neither admits anything.
 	restartGap = 300 * time.Millisecond
+	// surplusLife is how long tokens that were saved under a higher limit may be spent:
+	// less than the time in which a configuration has to be in force everywhere, so that
+	// a lower limit does not refuse what its workspace had saved.
+	surplusLife = 3 * time.Second
 	// demandGain is the weight of the last interval in the measured demand.
 	demandGain = 0.3
 	// demandInterval over which the demand is measured.
@@ -221,6 +225,7 @@
 	}
 	unregistered := l.config.Unregistered()
 	if w.fleet != fleet || w.limit != limit || w.unregistered != unregistered {
+		lowered := w.made && limit.Rate < w.limit.Rate
 		w.unregistered = unregistered
 		w.fleet = fleet
 		w.limit = limit
@@ -233,7 +238,11 @@
 		}
 		l.config.Log.Info("The part of a workspace's limit changed.", "workspace", name, "rate", limit.Rate, "burst", limit.Burst,
 			"holders", len(w.holders), "part", part)
-		w.bucket.Resize(now, capacity, rate)
+		if lowered {
+			w.bucket.Lower(now, capacity, rate, now.Add(surplusLife))
+		} else {
+			w.bucket.Resize(now, capacity, rate)
+		}
 	}
 	return w, true
 }
