--- a/decision/logpos/logpos.go
+++ b/decision/logpos/logpos.go
@@ -3,9 +3,12 @@
 
 import (
 	"cmp"
-	"fmt"
+	"strconv"
 )
 
+// textSize is enough for most positions, in bytes.
+const textSize = 24
+
 // Position is the term and index of a log entry. Index counts entries from 1 and
 // goes on over changes of term. The zero Position is before every entry.
 type Position struct {
@@ -35,7 +38,9 @@
 
 // String returns "term/index".
 func (p Position) String() string {
-	return fmt.Sprintf("%d/%d", p.Term, p.Index)
+	text := strconv.AppendUint(make([]byte, 0, textSize), p.Term, 10)
+	text = append(text, '/')
+	return string(strconv.AppendUint(text, p.Index, 10))
 }
 
 // Max returns the later of two positions.
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -193,7 +193,7 @@
 	s.sessions.outcomes.served(a.route.Kind, took)
 	s.sessions.config.Log.V(1).Info("Served a statement.", "request", request.ID, "database", a.route.Database, "workspace", a.workspace,
 		"endpoint", request.Endpoint, "home", home.Name, "step", request.Step.String(), "after", request.After.String(),
-		"position", ran.Position.String(), "provedPrimary", ran.ProvedPrimary, "configuration", a.version, "took", took.String())
+		"configuration", a.version, "tookMicroseconds", took.Microseconds())
 	return s.answer(statement.Answer{
 		Rows:      ran.Rows,
 		Signature: ran.Signature,
