--- a/amaranthctl/commands/status.go
+++ b/amaranthctl/commands/status.go
@@ -39,7 +39,7 @@
 	}
 	var vms [][]string
 	for _, vm := range status.GetVms() {
-		vms = append(vms, []string{vm.GetVm(), vm.GetPlace(), vm.GetState(), fmt.Sprint(vm.GetIncarnation())})
+		vms = append(vms, []string{vm.GetVm(), vm.GetDataCentre(), vm.GetState(), fmt.Sprint(vm.GetIncarnation())})
 	}
 	if err := a.print([]string{"VM", "PLACE", "STATE", "INCARNATION"}, vms, nil); err != nil {
 		return err
--- a/decision/confsync/fleet.go
+++ b/decision/confsync/fleet.go
@@ -32,19 +32,19 @@
 func (s *State) SetFleet(fleet []Known) {
 	var live []routing.VM
 	known := map[string]bool{}
-	placeLive := map[string]bool{}
+	dataCentreLive := map[string]bool{}
 	for _, k := range fleet {
 		known[k.VM.Name] = true
 		if k.Live {
 			live = append(live, k.VM)
 		}
 		if k.VM.Region == s.config.StoreRegion {
-			placeLive[k.VM.Place] = placeLive[k.VM.Place] || k.Live
+			dataCentreLive[k.VM.DataCentre] = dataCentreLive[k.VM.DataCentre] || k.Live
 		}
 	}
-	s.placesCovered = true
-	for _, covered := range placeLive {
-		s.placesCovered = s.placesCovered && covered
+	s.dataCentresCovered = true
+	for _, covered := range dataCentreLive {
+		s.dataCentresCovered = s.dataCentresCovered && covered
 	}
 	for vm := range s.reports {
 		if !known[vm] {
--- a/decision/confsync/state.go
+++ b/decision/confsync/state.go
@@ -56,12 +56,12 @@
 	// pending is the evidence for a version that has yet to be fetched.
 	pending evidence
 	// failed is the sending time of the last call of the store that failed.
-	failed        time.Time
-	placesCovered bool
-	reports       map[string]report
-	store         Store
-	watchers      []routing.VM
-	watching      bool
+	failed             time.Time
+	dataCentresCovered bool
+	reports            map[string]report
+	store              Store
+	watchers           []routing.VM
+	watching           bool
 }
 
 // Store is what a VM knows of the store from its own calls.
@@ -235,9 +235,9 @@
 // A watcher that alone is cut off from the store must not claim that. So every
 // other live watcher of the region has to have reported recently, in an answer
 // to this VM, that the store is out for it too, and no VM of any region may have
-// reported a success. Partitions mostly follow places: a place of the region
+// reported a success. Partitions mostly follow data centres: a data centre of the region
 // without any live VM may hold the store together with VMs that still change
-// the configuration, so every known place has to have a live VM. The claim may
+// the configuration, so every known data centre has to have a live VM. The claim may
 // be late by the consultation limit, if the store comes back between a failure
 // and the next call. It does not cover a change that was made between the last
 // success and the outage by a VM that failed before it told any watcher.
@@ -245,7 +245,7 @@
 	if !s.watching || s.store != StoreOut || s.version == 0 || s.version < s.heard {
 		return time.Time{}, false
 	}
-	if s.config.Self.Region != s.config.StoreRegion || !s.placesCovered {
+	if s.config.Self.Region != s.config.StoreRegion || !s.dataCentresCovered {
 		return time.Time{}, false
 	}
 	since := now.Add(-s.config.ConsultationLimit)
--- a/decision/confsync/state_test.go
+++ b/decision/confsync/state_test.go
@@ -21,11 +21,11 @@
 
 func at(elapsed time.Duration) time.Time { return start.Add(elapsed) }
 
-func vm(name, place string) routing.VM {
+func vm(name, dataCentre string) routing.VM {
 	return routing.VM{
-		Name:   name,
-		Place:  place,
-		Region: place[:1],
+		Name:       name,
+		DataCentre: dataCentre,
+		Region:     dataCentre[:1],
 	}
 }
 
@@ -39,7 +39,7 @@
 	return state
 }
 
-// watchers returns two watchers of region a in different places, one of region
+// watchers returns two watchers of region a in different data centres, one of region
 // b, and the fleet that consists of them.
 func watchers() (self, other, far routing.VM, fleet []Known) {
 	self, other, far = vm("w1", "a1"), vm("w2", "a2"), vm("w3", "b1")
@@ -142,7 +142,7 @@
 		Entry("other watcher answered long ago", func(s *State, _ []Known) {
 			s.AnswerReceived(at(7*time.Second), "w2", Digest{Version: 1, Store: StoreOut})
 		}, false),
-		Entry("a place of the region is out of reach", func(s *State, fleet []Known) {
+		Entry("a data centre of the region is out of reach", func(s *State, fleet []Known) {
 			fleet[1].Live = false
 			s.SetFleet(fleet)
 		}, false),
--- a/decision/membership/list.go
+++ b/decision/membership/list.go
@@ -59,10 +59,10 @@
 	e, known := t.members[l.VM]
 	if !known {
 		t.apply(now, Member{
-			VM:      l.VM,
-			Place:   l.Place,
-			Address: l.Address,
-			State:   Alive,
+			VM:         l.VM,
+			DataCentre: l.DataCentre,
+			Address:    l.Address,
+			State:      Alive,
 		})
 		e = t.members[l.VM]
 	}
--- a/decision/membership/member.go
+++ b/decision/membership/member.go
@@ -6,17 +6,17 @@
 
 // Listed is one VM of the platform's lagging list.
 type Listed struct {
-	VM      string
-	Place   string
-	Address netip.AddrPort
-	Leaving bool
+	VM         string
+	DataCentre string
+	Address    netip.AddrPort
+	Leaving    bool
 }
 
 // Member is what is known of one VM. It is also the unit of gossip.
 type Member struct {
-	VM      string
-	Place   string
-	Address netip.AddrPort
+	VM         string
+	DataCentre string
+	Address    netip.AddrPort
 	// Incarnation rises with each start of the VM's process. It is 0 for a VM
 	// that is known from the platform's list only.
 	Incarnation uint64
--- a/decision/membership/table_test.go
+++ b/decision/membership/table_test.go
@@ -22,7 +22,7 @@
 func member(vm string, incarnation, sequence uint64, state State) Member {
 	return Member{
 		VM:          vm,
-		Place:       "a1",
+		DataCentre:  "a1",
 		Address:     netip.MustParseAddrPort("10.0.0.1:1"),
 		Incarnation: incarnation,
 		Sequence:    sequence,
@@ -157,7 +157,7 @@
 
 	It("merges the platform's list", func() {
 		table := newTable("a", 1)
-		listed := []Listed{{VM: "a"}, {VM: "b", Place: "a1", Address: netip.MustParseAddrPort("10.0.0.1:1")}}
+		listed := []Listed{{VM: "a"}, {VM: "b", DataCentre: "a1", Address: netip.MustParseAddrPort("10.0.0.1:1")}}
 		Expect(table.MergeList(start, listed)).To(Succeed())
 		expectMember(table, 0, 0, Alive)
 		table.Apply(start, []Member{member("b", 3, 2, Alive), member("c", 1, 0, Alive)})
--- a/decision/routing/homes.go
+++ b/decision/routing/homes.go
@@ -21,7 +21,7 @@
 }
 
 type homeKey struct {
-	key, place, region string
+	key, dataCentre, region string
 }
 
 type homePair struct {
@@ -30,18 +30,18 @@
 }
 
 // First is Home. A list of live VMs must not be changed once it was passed.
-func (h *Homes) First(key, place, region string, live []VM) (VM, bool) {
-	pair := h.pair(key, place, region, live)
+func (h *Homes) First(key, dataCentre, region string, live []VM) (VM, bool) {
+	pair := h.pair(key, dataCentre, region, live)
 	return pair.first, pair.count > 0
 }
 
 // Second returns the home without the first one; false if that is the only VM.
-func (h *Homes) Second(key, place, region string, live []VM) (VM, bool) {
-	pair := h.pair(key, place, region, live)
+func (h *Homes) Second(key, dataCentre, region string, live []VM) (VM, bool) {
+	pair := h.pair(key, dataCentre, region, live)
 	return pair.second, pair.count > 1
 }
 
-func (h *Homes) pair(key, place, region string, live []VM) homePair {
+func (h *Homes) pair(key, dataCentre, region string, live []VM) homePair {
 	if len(live) == 0 {
 		return homePair{}
 	}
@@ -51,20 +51,20 @@
 		h.current.Store(current)
 	}
 	at := homeKey{
-		key:    key,
-		place:  place,
-		region: region,
+		key:        key,
+		dataCentre: dataCentre,
+		region:     region,
 	}
 	if known, ok := current.homes.Load(at); ok {
 		return known.(homePair)
 	}
 	var pair homePair
 	var ok bool
-	if pair.first, ok = Home(key, place, region, live); ok {
+	if pair.first, ok = Home(key, dataCentre, region, live); ok {
 		pair.count++
 	}
 	rest := slices.DeleteFunc(slices.Clone(live), func(v VM) bool { return v.Name == pair.first.Name })
-	if pair.second, ok = Home(key, place, region, rest); ok {
+	if pair.second, ok = Home(key, dataCentre, region, rest); ok {
 		pair.count++
 	}
 	current.homes.Store(at, pair)
--- a/decision/routing/homes_test.go
+++ b/decision/routing/homes_test.go
@@ -14,9 +14,9 @@
 	var all []routing.VM
 	for i := range count {
 		all = append(all, routing.VM{
-			Name:   fmt.Sprintf("vm%d", i),
-			Place:  fmt.Sprintf("place%d", i%3),
-			Region: "here",
+			Name:       fmt.Sprintf("vm%d", i),
+			DataCentre: fmt.Sprintf("data centre%d", i%3),
+			Region:     "here",
 		})
 	}
 	return all
--- a/decision/routing/route.go
+++ b/decision/routing/route.go
@@ -7,18 +7,18 @@
 	"amaranthdock.dev/decision/refusal"
 )
 
-// placeDistance is the one-way latency between two places of a region, and
+// dataCentreDistance is the one-way latency between two data centres of a region, and
 // regionDistance that between regions, as measured on the users' networks.
 const (
-	placeDistance  = time.Millisecond
-	regionDistance = 20 * time.Millisecond
+	dataCentreDistance = time.Millisecond
+	regionDistance     = 20 * time.Millisecond
 )
 
 // Site is an endpoint as the configuration declares it.
 type Site struct {
-	Endpoint string
-	Place    string
-	Region   string
+	Endpoint   string
+	DataCentre string
+	Region     string
 	// Leaving endpoints get no new work.
 	Leaving bool
 }
@@ -58,10 +58,10 @@
 
 // ReadInput is what RouteRead decides on.
 type ReadInput struct {
-	View   DatabaseView
-	Sites  []Site
-	Place  string
-	Region string
+	View       DatabaseView
+	Sites      []Site
+	DataCentre string
+	Region     string
 	Freshness
 	// Excluded endpoints have refused this read already.
 	Excluded map[string]bool
@@ -143,9 +143,9 @@
 }
 
 func replicaCost(member MemberView, s Site, in ReadInput) time.Duration {
-	cost := member.QueueWait + distance(s.Place, s.Region, in.Place, in.Region)
+	cost := member.QueueWait + distance(s.DataCentre, s.Region, in.DataCentre, in.Region)
 	if in.HasRequired && !member.Last.Covers(in.Required) {
-		cost += distance(s.Place, s.Region, in.Place, in.Region) + placeDistance
+		cost += distance(s.DataCentre, s.Region, in.DataCentre, in.Region) + dataCentreDistance
 		if member.AgeKnown {
 			cost += member.Age
 		}
@@ -153,12 +153,12 @@
 	return cost
 }
 
-func distance(place, region, otherPlace, otherRegion string) time.Duration {
+func distance(dataCentre, region, otherDataCentre, otherRegion string) time.Duration {
 	switch {
 	case region != otherRegion:
 		return regionDistance
-	case place != otherPlace:
-		return placeDistance
+	case dataCentre != otherDataCentre:
+		return dataCentreDistance
 	default:
 		return 0
 	}
--- a/decision/routing/route_test.go
+++ b/decision/routing/route_test.go
@@ -46,11 +46,11 @@
 	}
 )
 
-func newSite(endpoint, place, region string) routing.Site {
+func newSite(endpoint, dataCentre, region string) routing.Site {
 	return routing.Site{
-		Endpoint: endpoint,
-		Place:    place,
-		Region:   region,
+		Endpoint:   endpoint,
+		DataCentre: dataCentre,
+		Region:     region,
 	}
 }
 
@@ -80,11 +80,11 @@
 var _ = DescribeTable("RouteRead",
 	func(freshness routing.Freshness, change func(*routing.ReadInput), expected routing.Route) {
 		in := routing.ReadInput{
-			View:      newView(),
-			Sites:     slices.Clone(sites),
-			Place:     "here",
-			Region:    "west",
-			Freshness: freshness,
+			View:       newView(),
+			Sites:      slices.Clone(sites),
+			DataCentre: "here",
+			Region:     "west",
+			Freshness:  freshness,
 		}
 		change(&in)
 		Expect(routing.RouteRead(in)).To(Equal(expected))
--- a/decision/routing/serve.go
+++ b/decision/routing/serve.go
@@ -98,7 +98,7 @@
 }
 
 func tripToPrimary(in ServeInput) time.Duration {
-	trip := 2 * max(placeDistance, distance(in.Site.Place, in.Site.Region, in.Primary.Place, in.Primary.Region))
+	trip := 2 * max(dataCentreDistance, distance(in.Site.DataCentre, in.Site.Region, in.Primary.DataCentre, in.Primary.Region))
 	if primary, ok := in.View.Member(in.View.Primary); ok {
 		trip += primary.QueueWait
 	}
--- a/decision/routing/vm.go
+++ b/decision/routing/vm.go
@@ -12,15 +12,15 @@
 
 // VM is a proxy as the routing sees it.
 type VM struct {
-	Name   string
-	Place  string
-	Region string
+	Name       string
+	DataCentre string
+	Region     string
 }
 
 // Home returns the home of a key (an endpoint): the best-ranked live VM of the
-// place, else of the region, else of all. It returns false if live is empty.
-func Home(key, place, region string, live []VM) (VM, bool) {
-	if home, ok := first(key, live, func(v *VM) bool { return v.Place == place }); ok {
+// data centre, else of the region, else of all. It returns false if live is empty.
+func Home(key, dataCentre, region string, live []VM) (VM, bool) {
+	if home, ok := first(key, live, func(v *VM) bool { return v.DataCentre == dataCentre }); ok {
 		return home, true
 	}
 	if home, ok := first(key, live, func(v *VM) bool { return v.Region == region }); ok {
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -63,8 +63,8 @@
 		Entry("two faults at once", "rate: 100\n    burst: 20", "rate: fast\n    burst: many", "workspaces[0].rate", "workspaces[0].burst"),
 		Entry("duplicate name", "name: beta", "name: alpha", `workspaces[1].name: workspace "alpha" is given twice`, `presets[1].overrides[0].workspace: workspace "beta" is not declared`),
 		Entry("empty name", "name: beta", `name: ""`, `workspaces[1].name: must not be empty`, "presets[1].overrides[0].workspace"),
-		Entry("place in two regions", "places: [n1]", "places: [n1, s1]", `regions[1].places[1]: place "s1" is already in region "south"`),
-		Entry("unknown place", "place: s2", "place: s9", `endpoints[1].place: place "s9" is in no region`),
+		Entry("data centre in two regions", "dataCentres: [n1]", "dataCentres: [n1, s1]", `regions[1].dataCentres[1]: data centre "s1" is already in region "south"`),
+		Entry("unknown data centre", "dataCentre: s2", "dataCentre: s9", `endpoints[1].dataCentre: data centre "s9" is in no region`),
 		Entry("no port", "127.0.0.1:7001", "127.0.0.1:0", "endpoints[0].address: must be"),
 		Entry("no slots", "slots: 5", "slots: 0", "endpoints[0].slots: must be at least 1"),
 		Entry("no connections", "connections: 30", "connections: 0", "endpoints[0].connections: must be at least 1"),
@@ -80,7 +80,7 @@
 		Entry("short hash", "hash: 0", "hash: ", "workspaces[0].keys[0].hash: must be 64"),
 		Entry("anchor", "name: beta", "name: &b beta", "workspaces[1].name: anchors"),
 		Entry("bad syntax", "storeRegion: south", "storeRegion: [south", "d.yaml:"),
-		Entry("leaving endpoints count", "            leaving: true\n", "            leaving: true\n          - {name: main-4, place: s1, address: 127.0.0.1:7009, slots: 1, connections: 1}\n", "services[0].databases[0].endpoints: must be 3 endpoints"),
+		Entry("leaving endpoints count", "            leaving: true\n", "            leaving: true\n          - {name: main-4, dataCentre: s1, address: 127.0.0.1:7009, slots: 1, connections: 1}\n", "services[0].databases[0].endpoints: must be 3 endpoints"),
 	)
 
 	It("reads back what Format writes, so that show can be applied again", func() {
--- a/declaration/diff.go
+++ b/declaration/diff.go
@@ -141,7 +141,7 @@
 		},
 	}
 	for _, region := range document.Regions {
-		parts[newPartID(KindRegion, region.Name)] = part{newField("places", strings.Join(region.Places, " "))}
+		parts[newPartID(KindRegion, region.Name)] = part{newField("dataCentres", strings.Join(region.DataCentres, " "))}
 	}
 	for _, route := range document.Routes {
 		parts[newPartID(KindRoute, route.Name)] = part{
@@ -183,7 +183,7 @@
 			for _, endpoint := range database.Endpoints {
 				parts[newPartID(KindEndpoint, endpoint.Name)] = part{
 					newField("database", database.Name),
-					newField("place", endpoint.Place),
+					newField("dataCentre", endpoint.DataCentre),
 					newField("address", endpoint.Address.String()),
 					newField("slots", strconv.Itoa(endpoint.Slots)),
 					newField("connections", strconv.Itoa(endpoint.Connections)),
--- a/declaration/document.go
+++ b/declaration/document.go
@@ -41,9 +41,9 @@
 
 // Endpoint is one member of a database.
 type Endpoint struct {
-	Name    string         `json:"name" yaml:"name"`
-	Place   string         `json:"place" yaml:"place"`
-	Address netip.AddrPort `json:"address" yaml:"address"`
+	Name       string         `json:"name" yaml:"name"`
+	DataCentre string         `json:"dataCentre" yaml:"dataCentre"`
+	Address    netip.AddrPort `json:"address" yaml:"address"`
 	// Slots is the number of statements that run at once.
 	Slots int `json:"slots" yaml:"slots"`
 	// Connections is the limit over all proxies together.
@@ -92,10 +92,10 @@
 	Worth     *int     `json:"worth,omitempty" yaml:"worth,omitempty"`
 }
 
-// Region is a group of places with short distances.
+// Region is a group of data centres with short distances.
 type Region struct {
-	Name   string   `json:"name" yaml:"name"`
-	Places []string `json:"places" yaml:"places"`
+	Name        string   `json:"name" yaml:"name"`
+	DataCentres []string `json:"dataCentres" yaml:"dataCentres"`
 }
 
 // Route is a way into one database for reads without a key.
--- a/declaration/snapshot.go
+++ b/declaration/snapshot.go
@@ -52,7 +52,7 @@
 		subjects:   map[string]Subject{},
 		workspaces: map[string]*Workspace{},
 	}
-	s.indexPlaces()
+	s.indexDataCentres()
 	s.indexServices()
 	s.indexPreset()
 	s.indexRoutes()
@@ -112,9 +112,9 @@
 	return s.preset
 }
 
-// RegionOf returns the region of a place; empty if the place is unknown.
-func (s *Snapshot) RegionOf(place string) string {
-	return s.regions[place]
+// RegionOf returns the region of a data centre; empty if the data centre is unknown.
+func (s *Snapshot) RegionOf(dataCentre string) string {
+	return s.regions[dataCentre]
 }
 
 // Route returns a route that is open to all, by name.
@@ -161,10 +161,10 @@
 	return w, ok
 }
 
-func (s *Snapshot) indexPlaces() {
+func (s *Snapshot) indexDataCentres() {
 	for _, region := range s.document.Regions {
-		for _, place := range region.Places {
-			s.regions[place] = region.Name
+		for _, dataCentre := range region.DataCentres {
+			s.regions[dataCentre] = region.Name
 		}
 	}
 }
--- a/declaration/validate.go
+++ b/declaration/validate.go
@@ -50,10 +50,10 @@
 // Validate checks all rules of a document. The error is of type Problems.
 func Validate(document *Document) error {
 	v := &validator{
-		document:   document,
-		places:     map[string]string{},
-		databases:  map[string]bool{},
-		workspaces: map[string]bool{},
+		document:    document,
+		dataCentres: map[string]string{},
+		databases:   map[string]bool{},
+		workspaces:  map[string]bool{},
 	}
 	v.checkRegions()
 	v.checkServices()
@@ -67,11 +67,11 @@
 }
 
 type validator struct {
-	document   *Document
-	problems   Problems
-	places     map[string]string
-	databases  map[string]bool
-	workspaces map[string]bool
+	document    *Document
+	problems    Problems
+	dataCentres map[string]string
+	databases   map[string]bool
+	workspaces  map[string]bool
 }
 
 func (v *validator) add(field, format string, arguments ...any) {
@@ -82,8 +82,8 @@
 }
 
 func (v *validator) checkEndpoint(path string, endpoint *Endpoint) {
-	if v.places[endpoint.Place] == "" {
-		v.add(path+".place", "place %q is in no region", endpoint.Place)
+	if v.dataCentres[endpoint.DataCentre] == "" {
+		v.add(path+".dataCentre", "data centre %q is in no region", endpoint.DataCentre)
 	}
 	if !endpoint.Address.IsValid() || endpoint.Address.Port() == 0 {
 		v.add(path+".address", "must be an IP address and port")
@@ -131,17 +131,17 @@
 	for i, region := range v.document.Regions {
 		path := fmt.Sprintf("regions[%d]", i)
 		v.checkName(path+".name", "region", region.Name, seen)
-		if len(region.Places) == 0 {
-			v.add(path+".places", "at least one place is needed")
+		if len(region.DataCentres) == 0 {
+			v.add(path+".dataCentres", "at least one data centre is needed")
 		}
-		for j, place := range region.Places {
-			placePath := fmt.Sprintf("%s.places[%d]", path, j)
-			if owner, taken := v.places[place]; taken {
-				v.add(placePath, "place %q is already in region %q", place, owner)
+		for j, dataCentre := range region.DataCentres {
+			dataCentrePath := fmt.Sprintf("%s.dataCentres[%d]", path, j)
+			if owner, taken := v.dataCentres[dataCentre]; taken {
+				v.add(dataCentrePath, "data centre %q is already in region %q", dataCentre, owner)
 				continue
 			}
-			v.checkName(placePath, "place", place, map[string]bool{})
-			v.places[place] = region.Name
+			v.checkName(dataCentrePath, "dataCentre", dataCentre, map[string]bool{})
+			v.dataCentres[dataCentre] = region.Name
 		}
 	}
 	if !seen[v.document.StoreRegion] || v.document.StoreRegion == "" {
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -289,9 +289,9 @@
 	var near, region, far []routing.VM
 	for _, vm := range vms {
 		r := routing.VM{
-			Name:   vm.Name,
-			Place:  vm.DataCentre,
-			Region: vm.Region,
+			Name:       vm.Name,
+			DataCentre: vm.DataCentre,
+			Region:     vm.Region,
 		}
 		switch {
 		case vm.DataCentre == endpoint.DataCentre:
--- a/loadtool/bench/homes.go
+++ b/loadtool/bench/homes.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// endpoints are spread evenly over the three places.
+	// endpoints are spread evenly over the three data centres.
 	endpoints = 9
 	// openTime of a connection, and the bytes that it costs with TLS.
 	openTime  = 10 * time.Millisecond
@@ -123,11 +123,11 @@
 		skewed:    skewed,
 		latencies: newLatencies(),
 	}
-	places := []site{olfusa, thjorsa, hvitarosar}
+	dataCentres := []site{olfusa, thjorsa, hvitarosar}
 	for i := range endpoints {
 		d := &database{
 			name: fmt.Sprintf("endpoint%d", i+1),
-			site: places[i%len(places)],
+			site: dataCentres[i%len(dataCentres)],
 		}
 		r.endpoints = append(r.endpoints, d)
 		limit := c.perVM
@@ -178,7 +178,7 @@
 	}
 	at := entry
 	if r.choice.perVM == 0 {
-		home, _ := routing.Home(d.name, d.site.place, d.site.region, r.vms)
+		home, _ := routing.Home(d.name, d.site.dataCentre, d.site.region, r.vms)
 		for j, v := range r.vms {
 			if v.Name == home.Name {
 				at = j
--- a/loadtool/bench/member.go
+++ b/loadtool/bench/member.go
@@ -19,7 +19,7 @@
 	catchUpShare = 4
 )
 
-// replicaMember is a database member with its home in the same place.
+// replicaMember is a database member with its home in the same data centre.
 type replicaMember struct {
 	site  routing.Site
 	queue *scheduling.Queue
@@ -49,9 +49,9 @@
 func newReplicaMember(name string, s site) *replicaMember {
 	return &replicaMember{
 		site: routing.Site{
-			Endpoint: name,
-			Place:    s.place,
-			Region:   s.region,
+			Endpoint:   name,
+			DataCentre: s.dataCentre,
+			Region:     s.region,
 		},
 		queue: scheduling.New(scheduling.Config{
 			Slots:   slots,
@@ -66,8 +66,8 @@
 
 func (m *replicaMember) at() site {
 	return site{
-		place:  m.site.Place,
-		region: m.site.Region,
+		dataCentre: m.site.DataCentre,
+		region:     m.site.Region,
 	}
 }
 
--- a/loadtool/bench/topology.go
+++ b/loadtool/bench/topology.go
@@ -7,22 +7,22 @@
 )
 
 const (
-	// localHop is the one-way latency inside a place; placeHop and regionHop are
-	// those between places and between regions of the users' networks.
-	localHop  = 100 * time.Microsecond
-	placeHop  = time.Millisecond
-	regionHop = 20 * time.Millisecond
+	// localHop is the one-way latency inside a data centre; dataCentreHop and regionHop are
+	// those between data centres and between regions of the users' networks.
+	localHop      = 100 * time.Microsecond
+	dataCentreHop = time.Millisecond
+	regionHop     = 20 * time.Millisecond
 )
 
-// site is a place and its region.
+// site is a data centre and its region.
 type site struct {
-	place, region string
+	dataCentre, region string
 }
 
 var (
-	olfusa     = site{place: "olfusa", region: "sudurland"}
-	thjorsa    = site{place: "thjorsa", region: "sudurland"}
-	hvitarosar = site{place: "hvitarosar", region: "vesturland"}
+	olfusa     = site{dataCentre: "olfusa", region: "sudurland"}
+	thjorsa    = site{dataCentre: "thjorsa", region: "sudurland"}
+	hvitarosar = site{dataCentre: "hvitarosar", region: "vesturland"}
 )
 
 // fleet returns the 7 entry VMs of the first user.
@@ -41,9 +41,9 @@
 		{name: "h2", site: hvitarosar},
 	} {
 		all = append(all, routing.VM{
-			Name:   v.name,
-			Place:  v.site.place,
-			Region: v.site.region,
+			Name:       v.name,
+			DataCentre: v.site.dataCentre,
+			Region:     v.site.region,
 		})
 	}
 	return all
@@ -54,8 +54,8 @@
 	switch {
 	case a.region != b.region:
 		return regionHop
-	case a.place != b.place:
-		return placeHop
+	case a.dataCentre != b.dataCentre:
+		return dataCentreHop
 	default:
 		return localHop
 	}
@@ -63,7 +63,7 @@
 
 func siteOf(v routing.VM) site {
 	return site{
-		place:  v.Place,
-		region: v.Region,
+		dataCentre: v.DataCentre,
+		region:     v.Region,
 	}
 }
--- a/loadtool/capacity/fleet.go
+++ b/loadtool/capacity/fleet.go
@@ -94,14 +94,14 @@
 
 func newShape(size fleetConfig) harness.Shape {
 	shape := harness.Hladnik()
-	places := shape.VMs
+	dataCentres := shape.VMs
 	shape.Slots = slots
 	shape.Connections = connections
 	shape.ConnectionCost = time.Millisecond
 	shape.StatementTime = 0
 	shape.VMs = nil
 	for i := range size.vms {
-		shape.VMs = append(shape.VMs, places[i%len(places)])
+		shape.VMs = append(shape.VMs, dataCentres[i%len(dataCentres)])
 	}
 	shape.Databases = nil
 	for i := range size.databases {
--- a/loadtool/capacity/load.go
+++ b/loadtool/capacity/load.go
@@ -136,9 +136,9 @@
 	var live []routing.VM
 	for _, v := range f.deployment.LiveVMs() {
 		live = append(live, routing.VM{
-			Name:   v.Name,
-			Place:  v.Place,
-			Region: v.Region,
+			Name:       v.Name,
+			DataCentre: v.DataCentre,
+			Region:     v.Region,
 		})
 	}
 	for _, m := range f.deployment.Members {
@@ -147,13 +147,13 @@
 		}
 		region := ""
 		for _, r := range f.shape.Regions {
-			for _, place := range r.Places {
-				if place == m.Place {
+			for _, dataCentre := range r.DataCentres {
+				if dataCentre == m.DataCentre {
 					region = r.Name
 				}
 			}
 		}
-		home, _ := routing.Home(endpoint, m.Place, region, live)
+		home, _ := routing.Home(endpoint, m.DataCentre, region, live)
 		return home.Name
 	}
 	return ""
--- a/loadtool/faults/data/transaction_test.go
+++ b/loadtool/faults/data/transaction_test.go
@@ -38,20 +38,20 @@
 	var live []routing.VM
 	for _, v := range d.VMs {
 		live = append(live, routing.VM{
-			Name:   v.Name,
-			Place:  v.Place,
-			Region: v.Region,
+			Name:       v.Name,
+			DataCentre: v.DataCentre,
+			Region:     v.Region,
 		})
 	}
 	region := ""
 	for _, r := range d.shape.Regions {
-		for _, place := range r.Places {
-			if place == m.Place {
+		for _, dataCentre := range r.DataCentres {
+			if dataCentre == m.DataCentre {
 				region = r.Name
 			}
 		}
 	}
-	home, ok := routing.Home(m.Endpoint, m.Place, region, live)
+	home, ok := routing.Home(m.Endpoint, m.DataCentre, region, live)
 	Expect(ok).To(BeTrue())
 	for _, v := range d.VMs {
 		if v.Name == home.Name {
--- a/loadtool/harness/declaration.go
+++ b/loadtool/harness/declaration.go
@@ -54,8 +54,8 @@
 	}
 	for _, r := range shape.Regions {
 		document.Regions = append(document.Regions, declaration.Region{
-			Name:   r.Name,
-			Places: r.Places,
+			Name:        r.Name,
+			DataCentres: r.DataCentres,
 		})
 	}
 	document.Services = []declaration.Service{
@@ -140,7 +140,7 @@
 		for _, m := range d.MembersOf(name) {
 			database.Endpoints = append(database.Endpoints, declaration.Endpoint{
 				Name:        m.Endpoint,
-				Place:       m.Place,
+				DataCentre:  m.DataCentre,
 				Address:     m.address.advertise,
 				Slots:       shape.Slots,
 				Connections: shape.Connections,
--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -57,22 +57,22 @@
 // Member is a running database member.
 type Member struct {
 	*Process
-	Endpoint string
-	Database string
-	Place    string
-	address  endpointAddress
+	Endpoint   string
+	Database   string
+	DataCentre string
+	address    endpointAddress
 }
 
 // VM is a running proxy.
 type VM struct {
 	*Process
-	Place    string
-	Region   string
-	Caller   netip.AddrPort
-	Operator netip.AddrPort
-	Observe  netip.AddrPort
-	peer     endpointAddress
-	settings string
+	DataCentre string
+	Region     string
+	Caller     netip.AddrPort
+	Operator   netip.AddrPort
+	Observe    netip.AddrPort
+	peer       endpointAddress
+	settings   string
 }
 
 // endpointAddress is where a process listens and where the relay before it does.
@@ -127,7 +127,7 @@
 func (d *Deployment) SetVMList(ctx context.Context, live []*VM, leaving ...string) error {
 	type listed struct {
 		Name        string         `json:"name"`
-		Place       string         `json:"place"`
+		DataCentre  string         `json:"dataCentre"`
 		PeerAddress netip.AddrPort `json:"peerAddress"`
 		Leaving     bool           `json:"leaving"`
 	}
@@ -135,7 +135,7 @@
 	for _, v := range live {
 		list = append(list, listed{
 			Name:        v.Name,
-			Place:       v.Place,
+			DataCentre:  v.DataCentre,
 			PeerAddress: v.peer.advertise,
 			Leaving:     contains(leaving, v.Name),
 		})
@@ -210,7 +210,7 @@
 	if err := d.placeMembers(); err != nil {
 		return err
 	}
-	if err := d.placeVMs(); err != nil {
+	if err := d.dataCentreVMs(); err != nil {
 		return err
 	}
 	if err := d.makeFiles(); err != nil {
--- a/loadtool/harness/member.go
+++ b/loadtool/harness/member.go
@@ -27,25 +27,25 @@
 	d.Network.Isolate(m.host())
 }
 
-// placeMembers puts one member of each database into each place in turn.
+// placeMembers puts one member of each database into each data centre in turn.
 func (d *Deployment) placeMembers() error {
 	shape := d.config.Shape
-	places := shape.places()
+	dataCentres := shape.dataCentres()
 	number := byte(0)
 	for i, database := range shape.Databases {
 		for j := range MembersPerDatabase {
-			place := places[(i+j)%len(places)]
+			dataCentre := dataCentres[(i+j)%len(dataCentres)]
 			endpoint := database + "-" + string(rune('a'+j))
 			number++
-			address, err := d.place(endpoint, shape.regionOf(place), memberNet, number)
+			address, err := d.place(endpoint, shape.regionOf(dataCentre), memberNet, number)
 			if err != nil {
 				return err
 			}
 			d.Members = append(d.Members, &Member{
-				Endpoint: endpoint,
-				Database: database,
-				Place:    place,
-				address:  address,
+				Endpoint:   endpoint,
+				Database:   database,
+				DataCentre: dataCentre,
+				address:    address,
 			})
 		}
 	}
@@ -103,17 +103,17 @@
 // MembersPerDatabase is the size of a database group.
 const MembersPerDatabase = 3
 
-func (s Shape) places() []string {
-	var places []string
+func (s Shape) dataCentres() []string {
+	var dataCentres []string
 	for _, r := range s.Regions {
-		places = append(places, r.Places...)
+		dataCentres = append(dataCentres, r.DataCentres...)
 	}
-	return places
+	return dataCentres
 }
 
-func (s Shape) regionOf(place string) string {
+func (s Shape) regionOf(dataCentre string) string {
 	for _, r := range s.Regions {
-		if contains(r.Places, place) {
+		if contains(r.DataCentres, dataCentre) {
 			return r.Name
 		}
 	}
--- a/loadtool/harness/shape.go
+++ b/loadtool/harness/shape.go
@@ -24,7 +24,7 @@
 	// PieceRows is the number of rows in a piece; 0 for the member's default.
 	PieceRows  int
 	Workspaces []WorkspaceShape
-	// VMs holds the place of each VM.
+	// VMs holds the data centre of each VM.
 	VMs []string
 	// RegionDelay is the one-way latency between regions.
 	RegionDelay time.Duration
@@ -32,10 +32,10 @@
 	RegionRate int64
 }
 
-// RegionShape is a region and its places.
+// RegionShape is a region and its data centres.
 type RegionShape struct {
-	Name   string
-	Places []string
+	Name        string
+	DataCentres []string
 }
 
 // WorkspaceShape is a workspace and its limits.
@@ -58,12 +58,12 @@
 		Name: "hladnik",
 		Regions: []RegionShape{
 			{
-				Name:   "ljubljana",
-				Places: []string{"lj-bezigrad", "lj-vic"},
+				Name:        "ljubljana",
+				DataCentres: []string{"lj-bezigrad", "lj-vic"},
 			},
 			{
-				Name:   "maribor",
-				Places: []string{"mb-tezno"},
+				Name:        "maribor",
+				DataCentres: []string{"mb-tezno"},
 			},
 		},
 		StoreRegion:    "ljubljana",
@@ -93,12 +93,12 @@
 		Name: "saltmyri",
 		Regions: []RegionShape{
 			{
-				Name:   "sudurland",
-				Places: []string{"olfusa", "thjorsa"},
+				Name:        "sudurland",
+				DataCentres: []string{"olfusa", "thjorsa"},
 			},
 			{
-				Name:   "vesturland",
-				Places: []string{"hvitarosar"},
+				Name:        "vesturland",
+				DataCentres: []string{"hvitarosar"},
 			},
 		},
 		StoreRegion:    "sudurland",
--- a/loadtool/harness/vm.go
+++ b/loadtool/harness/vm.go
@@ -39,20 +39,20 @@
 	})
 }
 
-func (d *Deployment) placeVMs() error {
+func (d *Deployment) dataCentreVMs() error {
 	shape := d.config.Shape
-	for i, place := range shape.VMs {
-		region := shape.regionOf(place)
+	for i, dataCentre := range shape.VMs {
+		region := shape.regionOf(dataCentre)
 		name := fmt.Sprintf("vm-%d", i+1)
 		peer, err := d.place(name, region, vmNet, byte(i+1))
 		if err != nil {
 			return err
 		}
 		v := &VM{
-			Place:    place,
-			Region:   region,
-			peer:     peer,
-			settings: filepath.Join(d.config.WorkDir, name+".yaml"),
+			DataCentre: dataCentre,
+			Region:     region,
+			peer:       peer,
+			settings:   filepath.Join(d.config.WorkDir, name+".yaml"),
 			Process: &Process{
 				Name: name,
 			},
@@ -99,7 +99,7 @@
 func (d *Deployment) vmSettings(v *VM) string {
 	text := joinLines(
 		quoted("vm", v.Name),
-		quoted("place", v.Place),
+		quoted("dataCentre", v.DataCentre),
 		quoted("region", v.Region),
 		quoted("storeRegion", d.config.Shape.StoreRegion),
 		quoted("callerListen", v.Caller),
--- a/proxy/caller/dispatch.go
+++ b/proxy/caller/dispatch.go
@@ -122,12 +122,12 @@
 	}
 	self := c.config.Directory.Self()
 	return routing.RouteRead(routing.ReadInput{
-		View:      view,
-		Sites:     sites,
-		Place:     self.Place,
-		Region:    self.Region,
-		Freshness: d.freshness,
-		Excluded:  d.excluded,
+		View:       view,
+		Sites:      sites,
+		DataCentre: self.DataCentre,
+		Region:     self.Region,
+		Freshness:  d.freshness,
+		Excluded:   d.excluded,
 	})
 }
 
@@ -139,10 +139,10 @@
 	sites := make([]routing.Site, 0, len(declared.Endpoints))
 	for _, e := range declared.Endpoints {
 		sites = append(sites, routing.Site{
-			Endpoint: e.Name,
-			Place:    e.Place,
-			Region:   d.snapshot.RegionOf(e.Place),
-			Leaving:  e.Leaving,
+			Endpoint:   e.Name,
+			DataCentre: e.DataCentre,
+			Region:     d.snapshot.RegionOf(e.DataCentre),
+			Leaving:    e.Leaving,
 		})
 	}
 	return sites
@@ -193,12 +193,12 @@
 		return "", false
 	}
 	live := c.config.Directory.Live()
-	region := d.snapshot.RegionOf(declared.Place)
-	first, ok := c.homes.First(endpoint, declared.Place, region, live)
+	region := d.snapshot.RegionOf(declared.DataCentre)
+	first, ok := c.homes.First(endpoint, declared.DataCentre, region, live)
 	if !ok || !d.second {
 		return first.Name, ok
 	}
-	if second, ok := c.homes.Second(endpoint, declared.Place, region, live); ok {
+	if second, ok := c.homes.Second(endpoint, declared.DataCentre, region, live); ok {
 		return second.Name, true
 	}
 	return first.Name, true
--- a/proxy/caller/fixture_test.go
+++ b/proxy/caller/fixture_test.go
@@ -87,7 +87,7 @@
 
 func (f *fixture) Live() []routing.VM { return []routing.VM{f.Self()} }
 
-func (f *fixture) Self() routing.VM { return routing.VM{Name: "v", Place: "x", Region: "y"} }
+func (f *fixture) Self() routing.VM { return routing.VM{Name: "v", DataCentre: "x", Region: "y"} }
 
 func (f *fixture) View(string) (routing.DatabaseView, bool) {
 	f.mu.Lock()
@@ -149,15 +149,15 @@
 	}
 	return declaration.NewSnapshot(&declaration.Document{
 		Version: 7,
-		Regions: []declaration.Region{{Name: "y", Places: []string{"x"}}},
+		Regions: []declaration.Region{{Name: "y", DataCentres: []string{"x"}}},
 		Routes:  []declaration.Route{{Name: "open", Database: "d", Commands: []string{"verify"}}},
 		Services: []declaration.Service{{
 			Databases: []declaration.Database{
 				{
 					Name: "d",
 					Endpoints: []declaration.Endpoint{
-						{Name: "p", Place: "x"},
-						{Name: "r", Place: "x"},
+						{Name: "p", DataCentre: "x"},
+						{Name: "r", DataCentre: "x"},
 					},
 				},
 				{Name: "closed"},
--- a/proxy/caller/views.go
+++ b/proxy/caller/views.go
@@ -102,7 +102,7 @@
 	var asking sync.WaitGroup
 	var homes []string
 	for _, e := range declared.Endpoints {
-		home, ok := routing.Home(e.Name, e.Place, snapshot.RegionOf(e.Place), v.config.Directory.Live())
+		home, ok := routing.Home(e.Name, e.DataCentre, snapshot.RegionOf(e.DataCentre), v.config.Directory.Live())
 		if !ok || home.Name == v.config.Directory.Self().Name || slices.Contains(homes, home.Name) {
 			continue
 		}
--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -178,10 +178,10 @@
 		return routing.Site{}
 	}
 	return routing.Site{
-		Endpoint: declared.Name,
-		Place:    declared.Place,
-		Region:   s.snapshot.RegionOf(declared.Place),
-		Leaving:  declared.Leaving,
+		Endpoint:   declared.Name,
+		DataCentre: declared.DataCentre,
+		Region:     s.snapshot.RegionOf(declared.DataCentre),
+		Leaving:    declared.Leaving,
 	}
 }
 
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -273,7 +273,7 @@
 
 func (f *fixture) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
 func (f *fixture) Live() []routing.VM                   { return []routing.VM{f.Self()} }
-func (f *fixture) Self() routing.VM                     { return routing.VM{Name: "v", Place: "x"} }
+func (f *fixture) Self() routing.VM                     { return routing.VM{Name: "v", DataCentre: "x"} }
 
 func newFixture() *fixture {
 	f := &fixture{
@@ -320,7 +320,7 @@
 				Name: "d",
 				Endpoints: []declaration.Endpoint{{
 					Name:        "e",
-					Place:       "x",
+					DataCentre:  "x",
 					Address:     address,
 					Slots:       fixtureSlots,
 					Connections: 10,
--- a/proxy/endpoint/nodes.go
+++ b/proxy/endpoint/nodes.go
@@ -50,15 +50,15 @@
 func (h *Home) rank(snapshot *declaration.Snapshot, declared *declaration.Endpoint) homeRank {
 	self := h.config.Directory.Self().Name
 	live := h.config.Directory.Live()
-	region := snapshot.RegionOf(declared.Place)
-	first, ok := h.homes.First(declared.Name, declared.Place, region, live)
+	region := snapshot.RegionOf(declared.DataCentre)
+	first, ok := h.homes.First(declared.Name, declared.DataCentre, region, live)
 	switch {
 	case !ok:
 		return noRank
 	case first.Name == self:
 		return firstRank
 	}
-	if second, ok := h.homes.Second(declared.Name, declared.Place, region, live); !ok || second.Name != self {
+	if second, ok := h.homes.Second(declared.Name, declared.DataCentre, region, live); !ok || second.Name != self {
 		return noRank
 	}
 	return secondRank
@@ -66,7 +66,7 @@
 
 // isFirstHome tells whether this VM is the first rank for an endpoint.
 func (h *Home) isFirstHome(snapshot *declaration.Snapshot, declared *declaration.Endpoint) bool {
-	first, ok := routing.Home(declared.Name, declared.Place, snapshot.RegionOf(declared.Place), h.config.Directory.Live())
+	first, ok := routing.Home(declared.Name, declared.DataCentre, snapshot.RegionOf(declared.DataCentre), h.config.Directory.Live())
 	return ok && first.Name == h.config.Directory.Self().Name
 }
 
--- a/proxy/failover/cluster_test.go
+++ b/proxy/failover/cluster_test.go
@@ -92,30 +92,30 @@
 	c := &cluster{store: &store{}}
 	var endpoints []declaration.Endpoint
 	var listeners []net.Listener
-	places := []string{"olfusa", "thjorsa", "thjorsa"}
-	for i, place := range places {
+	dataCentres := []string{"olfusa", "thjorsa", "thjorsa"}
+	for i, dataCentre := range dataCentres {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		listeners = append(listeners, listener)
 		c.members = append(c.members, netip.MustParseAddrPort(listener.Addr().String()))
 		endpoints = append(endpoints, declaration.Endpoint{
-			Name:    fmt.Sprintf("m%d", i),
-			Place:   place,
-			Address: c.members[i],
+			Name:       fmt.Sprintf("m%d", i),
+			DataCentre: dataCentre,
+			Address:    c.members[i],
 		})
 	}
 	c.current.Store(&declaration.Document{
 		Version:     1,
 		StoreRegion: "sudurland",
-		Regions:     []declaration.Region{{Name: "sudurland", Places: places}},
+		Regions:     []declaration.Region{{Name: "sudurland", DataCentres: dataCentres}},
 		Services:    []declaration.Service{{Databases: []declaration.Database{{Name: "flock", Endpoints: endpoints}}}},
 	})
 	for i, listener := range listeners {
 		c.startMember(i, listener)
 	}
 	live := []routing.VM{
-		{Name: "vm0", Place: "olfusa", Region: "sudurland"},
-		{Name: "vm1", Place: "thjorsa", Region: "sudurland"},
+		{Name: "vm0", DataCentre: "olfusa", Region: "sudurland"},
+		{Name: "vm1", DataCentre: "thjorsa", Region: "sudurland"},
 	}
 	c.live.Store(&live)
 	for _, self := range live {
--- a/proxy/failover/part.go
+++ b/proxy/failover/part.go
@@ -213,7 +213,7 @@
 func claimants(snapshot *declaration.Snapshot, declared *declaration.Database, live []routing.VM) []string {
 	homes := map[string]routing.VM{}
 	for _, e := range declared.Endpoints {
-		if home, ok := routing.Home(e.Name, e.Place, snapshot.RegionOf(e.Place), live); ok {
+		if home, ok := routing.Home(e.Name, e.DataCentre, snapshot.RegionOf(e.DataCentre), live); ok {
 			homes[home.Name] = home
 		}
 	}
@@ -291,7 +291,7 @@
 	for _, e := range declared.Endpoints {
 		members = append(members, promotion.Member{
 			Endpoint: e.Name,
-			Region:   snapshot.RegionOf(e.Place),
+			Region:   snapshot.RegionOf(e.DataCentre),
 			Leaving:  e.Leaving,
 		})
 	}
--- a/proxy/gossip/dump.go
+++ b/proxy/gossip/dump.go
@@ -24,7 +24,7 @@
 // MemberDump is one member of the fleet.
 type MemberDump struct {
 	VM          string `json:"vm"`
-	Place       string `json:"place"`
+	DataCentre  string `json:"dataCentre"`
 	Region      string `json:"region"`
 	PeerAddress string `json:"peerAddress"`
 	Incarnation uint64 `json:"incarnation"`
@@ -58,8 +58,8 @@
 	for _, m := range p.table.Members() {
 		dump.Members = append(dump.Members, MemberDump{
 			VM:          m.VM,
-			Place:       m.Place,
-			Region:      p.regionOf(m.Place),
+			DataCentre:  m.DataCentre,
+			Region:      p.regionOf(m.DataCentre),
 			PeerAddress: m.Address.String(),
 			Incarnation: m.Incarnation,
 			Sequence:    m.Sequence,
--- a/proxy/gossip/fakes_test.go
+++ b/proxy/gossip/fakes_test.go
@@ -70,14 +70,14 @@
 		}
 		f.store = newFakeStore(f)
 		for i := range size {
-			place := []string{"a1", "a2", "a1", "a2", "b1", "b1", "b1"}[i%7]
+			dataCentre := []string{"a1", "a2", "a1", "a2", "b1", "b1", "b1"}[i%7]
 			f.nodes = append(f.nodes, &node{
 				fleet:   f,
 				address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
 				vm: routing.VM{
-					Name:   fmt.Sprintf("vm-%03d", i),
-					Place:  place,
-					Region: place[:1],
+					Name:       fmt.Sprintf("vm-%03d", i),
+					DataCentre: dataCentre,
+					Region:     dataCentre[:1],
 				},
 			})
 		}
@@ -330,8 +330,8 @@
 		Version:     version,
 		StoreRegion: "a",
 		Regions: []declaration.Region{
-			{Name: "a", Places: []string{"a1", "a2"}},
-			{Name: "b", Places: []string{"b1"}},
+			{Name: "a", DataCentres: []string{"a1", "a2"}},
+			{Name: "b", DataCentres: []string{"b1"}},
 		},
 	})
 	if err != nil {
--- a/proxy/gossip/fakestore_test.go
+++ b/proxy/gossip/fakestore_test.go
@@ -81,7 +81,7 @@
 		if !s.missing[n.vm.Name] {
 			list = append(list, platform.VM{
 				Name:        n.vm.Name,
-				Place:       n.vm.Place,
+				DataCentre:  n.vm.DataCentre,
 				PeerAddress: n.address,
 				Leaving:     s.leaving[n.vm.Name],
 			})
--- a/proxy/gossip/part.go
+++ b/proxy/gossip/part.go
@@ -70,7 +70,7 @@
 		Random: config.Random,
 		Self: membership.Member{
 			VM:          config.Self.Name,
-			Place:       config.Self.Place,
+			DataCentre:  config.Self.DataCentre,
 			Address:     config.Address,
 			Incarnation: config.Incarnation,
 		},
@@ -140,9 +140,9 @@
 	known := make([]confsync.Known, 0, len(fleet))
 	for _, m := range fleet {
 		vm := routing.VM{
-			Name:   m.VM,
-			Place:  m.Place,
-			Region: p.regionOf(m.Place),
+			Name:       m.VM,
+			DataCentre: m.DataCentre,
+			Region:     p.regionOf(m.DataCentre),
 		}
 		next.members[m.VM] = m.Member
 		if m.Live {
@@ -172,13 +172,13 @@
 	}
 }
 
-// regionOf returns the region of a place; empty while no configuration tells it.
-func (p *Part) regionOf(place string) string {
-	if place == p.config.Self.Place {
+// regionOf returns the region of a data centre; empty while no configuration tells it.
+func (p *Part) regionOf(dataCentre string) string {
+	if dataCentre == p.config.Self.DataCentre {
 		return p.config.Self.Region
 	}
 	if snapshot := p.current.Load(); snapshot != nil {
-		return snapshot.RegionOf(place)
+		return snapshot.RegionOf(dataCentre)
 	}
 	return ""
 }
--- a/proxy/gossip/watch.go
+++ b/proxy/gossip/watch.go
@@ -67,10 +67,10 @@
 	list := make([]membership.Listed, 0, len(vms))
 	for _, v := range vms {
 		list = append(list, membership.Listed{
-			VM:      v.Name,
-			Place:   v.Place,
-			Address: v.PeerAddress,
-			Leaving: v.Leaving,
+			VM:         v.Name,
+			DataCentre: v.DataCentre,
+			Address:    v.PeerAddress,
+			Leaving:    v.Leaving,
 		})
 	}
 	p.mu.Lock()
--- a/proxy/gossip/wire.go
+++ b/proxy/gossip/wire.go
@@ -82,7 +82,7 @@
 		}
 		members = append(members, membership.Member{
 			VM:          u.GetVm(),
-			Place:       u.GetPlace(),
+			DataCentre:  u.GetDataCentre(),
 			Address:     address,
 			Incarnation: u.GetIncarnation(),
 			Sequence:    u.GetSequence(),
@@ -97,7 +97,7 @@
 	for _, m := range members {
 		updates = append(updates, &peerv1.MemberUpdate{
 			Vm:          m.VM,
-			Place:       m.Place,
+			DataCentre:  m.DataCentre,
 			PeerAddress: m.Address.String(),
 			Incarnation: m.Incarnation,
 			Sequence:    m.Sequence,
--- a/proxy/operator/operator_test.go
+++ b/proxy/operator/operator_test.go
@@ -115,10 +115,10 @@
 }
 func (f *fakeFleet) Live() []routing.VM {
 	var live []routing.VM
-	for i, place := range []string{"s1", "s2", "n1"} {
+	for i, dataCentre := range []string{"s1", "s2", "n1"} {
 		live = append(live, routing.VM{
-			Name:  fmt.Sprintf("vm-%d", i+1),
-			Place: place,
+			Name:       fmt.Sprintf("vm-%d", i+1),
+			DataCentre: dataCentre,
 		})
 	}
 	return live
--- a/proxy/operator/status.go
+++ b/proxy/operator/status.go
@@ -40,7 +40,7 @@
 		incarnation, _ := o.config.Directory.Incarnation(vm.Name)
 		response.Vms = append(response.Vms, &operatorv1.VmStatus{
 			Vm:          vm.Name,
-			Place:       vm.Place,
+			DataCentre:  vm.DataCentre,
 			State:       stateLive,
 			Incarnation: incarnation,
 		})
@@ -105,7 +105,7 @@
 	}
 	for _, endpoint := range database.Endpoints {
 		member, _ := view.Member(endpoint.Name)
-		home, _ := routing.Home(endpoint.Name, endpoint.Place, current.RegionOf(endpoint.Place), live)
+		home, _ := routing.Home(endpoint.Name, endpoint.DataCentre, current.RegionOf(endpoint.DataCentre), live)
 		memberStatus := &operatorv1.MemberStatus{
 			Endpoint:  endpoint.Name,
 			Role:      roleName(member.Role),
--- a/proxy/parts.go
+++ b/proxy/parts.go
@@ -101,9 +101,9 @@
 
 func (b *builder) self() routing.VM {
 	return routing.VM{
-		Name:   b.settings().VM,
-		Place:  b.settings().Place,
-		Region: b.settings().Region,
+		Name:       b.settings().VM,
+		DataCentre: b.settings().DataCentre,
+		Region:     b.settings().Region,
 	}
 }
 
--- a/proxy/platform/client.go
+++ b/proxy/platform/client.go
@@ -122,7 +122,7 @@
 		}
 		vms = append(vms, VM{
 			Name:        v.GetName(),
-			Place:       v.GetPlace(),
+			DataCentre:  v.GetDataCentre(),
 			PeerAddress: address,
 			Leaving:     v.GetState() == platformv1.VmState_VM_STATE_LEAVING,
 		})
--- a/proxy/platform/client_test.go
+++ b/proxy/platform/client_test.go
@@ -157,7 +157,7 @@
 	})
 
 	ginkgo.It("refuses lists that are older or cannot be read as a whole", func() {
-		vms := []*platformv1.Vm{{Name: "a", Place: "p", PeerAddress: "10.0.0.1:7", State: platformv1.VmState_VM_STATE_LEAVING}}
+		vms := []*platformv1.Vm{{Name: "a", DataCentre: "p", PeerAddress: "10.0.0.1:7", State: platformv1.VmState_VM_STATE_LEAVING}}
 		service.lists = []*platformv1.ListVmsResponse{
 			{Revision: 2, Vms: vms},
 			{Revision: 1},
--- a/proxy/platform/store.go
+++ b/proxy/platform/store.go
@@ -35,7 +35,7 @@
 // VM is one entry of the platform's list.
 type VM struct {
 	Name        string
-	Place       string
+	DataCentre  string
 	PeerAddress netip.AddrPort
 	Leaving     bool
 }
--- a/settings/fuzz_test.go
+++ b/settings/fuzz_test.go
@@ -12,7 +12,7 @@
 )
 
 const fuzzSettings = `vm: vm-1
-place: p
+dataCentre: p
 region: r
 storeRegion: r
 callerListen: 127.0.0.1:1
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,7 +26,7 @@
 // Settings of a proxy process.
 type Settings struct {
 	VM          string `json:"vm" yaml:"vm"`
-	Place       string `json:"place" yaml:"place"`
+	DataCentre  string `json:"dataCentre" yaml:"dataCentre"`
 	Region      string `json:"region" yaml:"region"`
 	StoreRegion string `json:"storeRegion" yaml:"storeRegion"`
 
@@ -120,7 +120,7 @@
 
 func (c *checker) check(s *Settings) {
 	c.checkText("vm", s.VM)
-	c.checkText("place", s.Place)
+	c.checkText("dataCentre", s.DataCentre)
 	c.checkText("region", s.Region)
 	c.checkText("storeRegion", s.StoreRegion)
 	c.checkListeners(s)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -30,7 +30,7 @@
 }
 
 const valid = `vm: vm-1
-place: s1
+dataCentre: s1
 region: south
 storeRegion: south
 callerListen: 127.0.0.1:7100
@@ -102,7 +102,7 @@
 		},
 		Entry("unknown field", "logLevel:", "logLevl:", "s.yaml:13:1: logLevl: unknown field"),
 		Entry("host name", "127.0.0.1:7200", "localhost:7200", "s.yaml:9:18: platformAddress:"),
-		Entry("two faults", "place: s1\nregion: south", "place: \"\"\nregion: \"\"", "s.yaml:2:1: place: must be set", "s.yaml:3:1: region: must be set"),
+		Entry("two faults", "dataCentre: s1\nregion: south", "dataCentre: \"\"\nregion: \"\"", "s.yaml:2:1: dataCentre: must be set", "s.yaml:3:1: region: must be set"),
 		Entry("absent field", "vm: vm-1\n", "", "vm: must be set"),
 		Entry("address twice", "127.0.0.1:7102", "127.0.0.1:7101", "operatorListen: has the address of peerListen"),
 		Entry("peer TLS without authorities", ", caFile: cert.pem", "", "peerTls.caFile: must be set"),
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -186,7 +186,7 @@
 	)
 
 	It("shows the VM list after its lag", func() {
-		admin(platform.VMsPath, `{"vms":[{"name":"vm-1","place":"s1","peerAddress":"127.0.0.1:1","leaving":true}]}`)
+		admin(platform.VMsPath, `{"vms":[{"name":"vm-1","dataCentre":"s1","peerAddress":"127.0.0.1:1","leaving":true}]}`)
 		list, err := client.ListVms(context.Background(), &platformv1.ListVmsRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(list.GetVms()).To(BeEmpty())
--- a/standin/platform/service.go
+++ b/standin/platform/service.go
@@ -99,7 +99,7 @@
 		}
 		response.Vms = append(response.Vms, &platformv1.Vm{
 			Name:        vm.Name,
-			Place:       vm.Place,
+			DataCentre:  vm.DataCentre,
 			PeerAddress: vm.PeerAddress.String(),
 			State:       state,
 		})
--- a/standin/platform/vmlist.go
+++ b/standin/platform/vmlist.go
@@ -11,7 +11,7 @@
 // VM is an entry of the VM list.
 type VM struct {
 	Name        string         `json:"name"`
-	Place       string         `json:"place"`
+	DataCentre  string         `json:"dataCentre"`
 	PeerAddress netip.AddrPort `json:"peerAddress"`
 	Leaving     bool           `json:"leaving,omitempty"`
 }
