--- a/amaranthctl/commands/loglines.go
+++ b/amaranthctl/commands/loglines.go
@@ -90,7 +90,9 @@
 
 func parseLog(text string) (*logLine, bool) {
 	var fields map[string]any
-	if err := json.Unmarshal([]byte(text), &fields); err != nil {
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.UseNumber()
+	if err := decoder.Decode(&fields); err != nil {
 		return nil, false
 	}
 	line := &logLine{Fields: fields}
--- a/declaration/key.go
+++ b/declaration/key.go
@@ -54,7 +54,7 @@
 
 // Matches tells in constant time whether the secret belongs to the key.
 func (k Key) Matches(secret string) bool {
-	return subtle.ConstantTimeCompare([]byte(HashSecret(secret)), []byte(k.Hash)) == 1
+	return subtle.ConstantTimeCompare([]byte(HashSecret(secret)), []byte(strings.ToLower(k.Hash))) == 1
 }
 
 func randomHex(length int) string {
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -231,6 +231,10 @@
 		}
 		ran, err := d.session.sessions.call(ctx, home, d.request)
 		d.home = home
+		d.session.tried = attempt{
+			endpoint: target.Key.ID,
+			home:     home.Name,
+		}
 		switch {
 		case errors.Is(err, peer.ErrUnreachable):
 			last = &peer.Ran{Refused: refusal.NewNotRun(refusal.Unreachable, "the home of the endpoint is not reachable")}
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -90,6 +90,10 @@
 	forward.Endpoint = t.endpoint.Key.ID
 	forward.Transaction = t.key
 	forward.Timeout = timeoutOf(t.admission.route)
+	s.tried = attempt{
+		endpoint: t.endpoint.Key.ID,
+		home:     t.home.Name,
+	}
 	ran, err := s.sessions.call(ctx, t.home, forward)
 	if err != nil {
 		ran = &peer.Ran{Refused: lostStep(forward)}
@@ -209,7 +213,7 @@
 	}
 	s.sessions.outcomes.refused(a.route.Kind, refused.Reason)
 	s.sessions.config.Log.Info("Refused a statement.", "request", request.ID, "reason", refused.Reason, "outcome", refused.Outcome.String(),
-		"message", refused.Message, "database", a.route.Database, "workspace", a.workspace, "configuration", a.version,
+		"message", refused.Message, "endpoint", s.tried.endpoint, "home", s.tried.home, "database", a.route.Database, "workspace", a.workspace, "configuration", a.version,
 		"transaction", s.transaction != nil, "took", s.sessions.config.Timer.Now().Sub(started).String())
 	return s.refuse(refused)
 }
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -81,6 +81,13 @@
 	// position covers each commit that was acknowledged to this session.
 	position    logpos.Position
 	transaction *transaction
+	// tried is where the current statement was sent last, for the log.
+	tried attempt
+}
+
+// attempt is an endpoint and the home through which it was tried.
+type attempt struct {
+	endpoint, home string
 }
 
 // transaction is open for the caller. It is opened at an endpoint with its first
@@ -165,6 +172,7 @@
 
 // Do runs a request and returns its whole answer.
 func (s *Session) Do(ctx context.Context, request statement.Request) statement.Answer {
+	s.tried = attempt{}
 	if t := s.transaction; t != nil && t.failed {
 		return s.inFailed(request)
 	}
--- a/engine/endpoint/node.go
+++ b/engine/endpoint/node.go
@@ -24,6 +24,9 @@
 	initialCost = 30 * time.Millisecond
 	// loggedWait for a slot, above which a statement gets a line in the log.
 	loggedWait = 50 * time.Millisecond
+	// failureLogInterval between two log lines that one endpoint does not answer, since
+	// one that loses some answers would fill the log.
+	failureLogInterval = time.Second
 	// unansweredInterval between two calls of Unanswered for one endpoint.
 	unansweredInterval = 200 * time.Millisecond
 )
@@ -46,9 +49,12 @@
 	closed       bool
 	lastUsed     time.Time
 	failing      bool
-	dialFailedAt time.Time
-	reportedAt   time.Time
-	sample       staleness.Sample
+	// failureLogged is set while the log holds that the endpoint does not answer.
+	failureLogged   bool
+	failureLoggedAt time.Time
+	dialFailedAt    time.Time
+	reportedAt      time.Time
+	sample          staleness.Sample
 }
 
 func newNode(config *Config, target catalog.Endpoint) *node {
@@ -235,8 +241,12 @@
 func (n *node) answered() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.failing {
-		n.failing = false
+	if !n.failing {
+		return
+	}
+	n.failing = false
+	if n.failureLogged {
+		n.failureLogged = false
 		n.config.Log.Info("The endpoint answers again.", "endpoint", n.target.Key.ID, "database", n.target.Database)
 	}
 }
@@ -245,14 +255,18 @@
 func (n *node) unanswered() {
 	n.mu.Lock()
 	now := n.config.Timer.Now()
-	first := !n.failing
+	logged := !n.failing && now.Sub(n.failureLoggedAt) >= failureLogInterval
+	if logged {
+		n.failureLogged = true
+		n.failureLoggedAt = now
+	}
 	n.failing = true
 	due := now.Sub(n.reportedAt) >= unansweredInterval
 	if due {
 		n.reportedAt = now
 	}
 	n.mu.Unlock()
-	if first {
+	if logged {
 		n.config.Log.Info("The endpoint does not answer.", "endpoint", n.target.Key.ID, "database", n.target.Database)
 	}
 	if due && n.config.Unanswered != nil {
--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -137,7 +138,7 @@
 			Name:        v.Name,
 			DataCentre:  v.DataCentre,
 			PeerAddress: v.peer.advertise,
-			Leaving:     contains(leaving, v.Name),
+			Leaving:     slices.Contains(leaving, v.Name),
 		})
 	}
 	body, err := json.Marshal(map[string]any{
@@ -335,15 +336,6 @@
 	}
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // Ports of listeners are below the range from which the system takes the ports of
 // outgoing connections, which leave from the same addresses.
 const (
--- a/loadtool/harness/member.go
+++ b/loadtool/harness/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"strconv"
 )
 
@@ -113,7 +114,7 @@
 
 func (s Shape) regionOf(dataCentre string) string {
 	for _, r := range s.Regions {
-		if contains(r.DataCentres, dataCentre) {
+		if slices.Contains(r.DataCentres, dataCentre) {
 			return r.Name
 		}
 	}
--- a/proxy/caller/authenticate.go
+++ b/proxy/caller/authenticate.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
 	"slices"
@@ -16,10 +15,6 @@
 const (
 	authorizationHeader = "Authorization"
 	bearerPrefix        = "Bearer "
-	// keyPrefix, the id and the secret make up a key: ad_<id>_<secret>.
-	keyPrefix    = "ad"
-	keySeparator = "_"
-	keyParts     = 3
 )
 
 // unknownHash stands in for the hash of a key whose id is not known.
@@ -61,19 +56,15 @@
 // checkKey compares hashes in constant time, and also when the id is not known,
 // so that the time tells nothing about the ids in use.
 func checkKey(snapshot *declaration.Snapshot, key string) (principal, error) {
-	parts := strings.SplitN(key, keySeparator, keyParts)
-	if len(parts) != keyParts || parts[0] != keyPrefix {
+	id, secret, ok := declaration.SplitKey(key)
+	if !ok {
 		return principal{}, keyRefused(refusal.KeyUnknown, "the key is malformed")
 	}
-	owner, known := snapshot.Key(parts[1])
-	sum := sha256.Sum256([]byte(parts[2]))
-	given := hex.EncodeToString(sum[:])
-	expected := strings.ToLower(owner.Key.Hash)
+	owner, known := snapshot.Key(id)
 	if !known {
-		expected = unknownHash
+		owner.Key.Hash = unknownHash
 	}
-	same := subtle.ConstantTimeCompare([]byte(given), []byte(expected)) == 1
-	if !known || !same {
+	if same := owner.Key.Matches(secret); !known || !same {
 		return principal{}, keyRefused(refusal.KeyUnknown, "the key is not known")
 	}
 	found := principal{
