--- /dev/null
+++ b/engine/gossip/gossip_test.go
@@ -0,0 +1,181 @@
+package gossip_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/gossip"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/view"
+	"amaranthdock.dev/timer"
+)
+
+func TestGossip(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine/gossip")
+}
+
+// contact tells that the store does not answer.
+type contact struct{}
+
+func (contact) Reached() bool { return false }
+
+// vm is a VM that only gossips.
+type vm struct {
+	*gossip.Part
+	view *view.View
+}
+
+func (v *vm) Run(context.Context, *peer.Run) *peer.Ran { return &peer.Ran{} }
+func (v *vm) Abandon(peer.TransactionKey)              {}
+func (v *vm) Lend(*peer.Loan) peer.Lent                { return peer.Lent{} }
+func (v *vm) Suspect(*peer.Suspicion)                  {}
+func (v *vm) Promoted(*peer.Promotion)                 {}
+
+func (v *vm) Confirm(context.Context, *peer.Suspicion) peer.SuspicionReply {
+	return peer.SuspicionReply{}
+}
+
+// start returns a VM that asks others. The seeds are all that it
+// knows of them.
+func start(name string, seeds ...netip.AddrPort) *vm {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	clock := timer.NewSystem()
+	links := peer.NewLinks(peer.LinksConfig{
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address.String())
+		},
+		Timer: clock,
+		Log:   logr.Discard(),
+	})
+	v := &vm{view: view.New(view.Config{
+		Self: catalog.VM{
+			Name:        name,
+			Address:     netip.MustParseAddrPort(listener.Addr().String()),
+			Incarnation: 1,
+		},
+		Timer: clock,
+		Log:   logr.Discard(),
+		Down:  links.Down,
+	})}
+	v.Part = gossip.New(gossip.Config{
+		View:  v.view,
+		Links: links,
+		Store: contact{},
+		Timer: clock,
+		Log:   logr.Discard(),
+		Seeds: seeds,
+		Pick:  func(int) int { return 0 },
+	})
+	server := peer.NewServer(peer.ServerConfig{
+		Handler: v,
+		Timer:   clock,
+		Log:     logr.Discard(),
+	})
+	go func() {
+		defer GinkgoRecover()
+		Expect(server.Serve(context.Background(), listener)).To(Succeed())
+	}()
+	return v
+}
+
+// follow lets a VM ask until the end of the test.
+func (v *vm) follow() {
+	ctx, stop := context.WithCancel(context.Background())
+	DeferCleanup(stop)
+	go v.Part.Run(ctx)
+}
+
+// knowing gives a VM the knowledge of a store.
+func (v *vm) knowing(version, revision uint64) *vm {
+	v.view.AcceptConfiguration(&catalog.Configuration{Version: version}, "test")
+	v.view.AcceptEndpoints(&catalog.Endpoints{
+		Revision: revision,
+		ByID:     map[string]catalog.Endpoint{"e1": {Database: "db"}},
+	}, "test")
+	v.view.AcceptVMs(&catalog.VMs{
+		Revision: revision,
+		ByName:   map[string]catalog.VM{v.view.Self().Name: v.view.Self()},
+	}, "test")
+	return v
+}
+
+var _ = Describe("a VM that does not reach the store", func() {
+	It("learns of everything from a seed", func() {
+		informed := start("informed").knowing(7, 40)
+		cut := start("cut", informed.view.Self().Address)
+		cut.follow()
+		Eventually(cut.view.Configuration).WithTimeout(2 * time.Second).ShouldNot(BeNil())
+		Expect(cut.view.Configuration().Version).To(Equal(uint64(7)))
+		Eventually(func() int { return len(cut.view.Endpoints().ByID) }).Should(Equal(1))
+		Eventually(func() int { return len(cut.view.VMs().ByName) }).Should(Equal(1))
+	})
+
+	It("learns of a later configuration", func() {
+		informed := start("informed").knowing(7, 40)
+		cut := start("cut", informed.view.Self().Address)
+		cut.follow()
+		informed.view.AcceptConfiguration(&catalog.Configuration{Version: 9}, "test")
+		Eventually(func() uint64 {
+			if c := cut.view.Configuration(); c != nil {
+				return c.Version
+			}
+			return 0
+		}).WithTimeout(2 * time.Second).Should(Equal(uint64(9)))
+	})
+})
+
+var _ = Describe("News", func() {
+	ask := func(v *vm, version uint64, endpoints peer.Known) peer.NewsReply {
+		return v.News(&peer.News{
+			From:          catalog.VM{Name: "other"},
+			ConfigVersion: version,
+			Endpoints:     endpoints,
+		})
+	}
+
+	It("repeats nothing that the asking VM knows", func() {
+		v := start("informed").knowing(7, 40)
+		known := peer.Known{
+			Revision: 40,
+			Digest:   v.view.Endpoints().Digest(),
+		}
+		answer := ask(v, 7, known)
+		Expect(answer.Config).To(BeNil())
+		Expect(answer.Endpoints).To(BeNil())
+	})
+
+	It("tells a revision without changes by its number", func() {
+		v := start("informed").knowing(7, 40)
+		answer := ask(v, 7, peer.Known{
+			Revision: 12,
+			Digest:   v.view.Endpoints().Digest(),
+		})
+		Expect(answer.Endpoints).To(BeNil())
+		Expect(answer.EndpointsRevision).To(Equal(uint64(40)))
+	})
+
+	It("tells changes whole, and older versions never", func() {
+		v := start("informed").knowing(7, 40)
+		answer := ask(v, 9, peer.Known{Revision: 12})
+		Expect(answer.Endpoints.ByID).To(HaveKey("e1"))
+		Expect(answer.Config).To(BeNil())
+	})
+
+	It("tells that a VM takes no new work", func() {
+		v := start("leaving").knowing(7, 40)
+		v.Leave()
+		Expect(ask(v, 7, peer.Known{}).Leaving).To(BeTrue())
+	})
+})
