--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -26,6 +26,8 @@
 	// farPollInterval where the store is in another region, because the link to it is
 	// billed by volume. Other VMs tell what changed meanwhile.
 	farPollInterval = 3 * time.Second
+	// vacantPollInterval while a database has no primary that this VM knows of.
+	vacantPollInterval = 300 * time.Millisecond
 	// farTrip there and back is longer than within a region.
 	farTrip = 15 * time.Millisecond
 	// tripGain is the weight of a new trip in the mean.
@@ -179,7 +181,13 @@
 		backoff.reset()
 		s.config.View.AcceptEndpoints(endpoints, "store")
 		stale = true
-		interval := s.config.Timer.After(s.interval())
+		wait := s.interval()
+		if s.config.View.Vacant() {
+			// Reports that lapsed in an outage come back one by one.
+			wait = s.jittered(vacantPollInterval)
+			stale = false
+		}
+		interval := s.config.Timer.After(wait)
 		select {
 		case <-interval.C():
 		case <-s.wake:
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -114,6 +114,25 @@
 	return best, bestState != nil
 }
 
+// Vacant tells whether the configuration names a database without a primary that this
+// VM knows of, and none is being promoted by the leader's word.
+func (v *View) Vacant() bool {
+	c := v.configuration.Load()
+	if c == nil {
+		return false
+	}
+	now := v.config.Timer.Now()
+	for name := range c.Databases {
+		v.mu.Lock()
+		pending := now.Before(v.database(name).pendingUntil)
+		v.mu.Unlock()
+		if _, ok := v.Primary(name); !ok && !pending {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns the reported endpoints of a database.
 func (v *View) Members(name string) []catalog.Endpoint {
 	var members []catalog.Endpoint
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -213,6 +213,20 @@
 
 	It("is the endpoint that reports it", func() { f.expectPrimary("p") })
 
+	It("is missed where the configuration names the database, unless one is being promoted", func() {
+		declared := &catalog.Configuration{
+			Version:   1,
+			Databases: map[string]catalog.Database{"db": {Name: "db"}},
+		}
+		Expect(f.Vacant()).To(BeFalse())
+		f.AcceptConfiguration(declared, "test")
+		Expect(f.Vacant()).To(BeFalse())
+		refused(p)
+		Expect(f.Vacant()).To(BeTrue())
+		f.Promoted("db", "r", false)
+		Expect(f.Vacant()).To(BeFalse())
+	})
+
 	It("is none while the only one that reports it has refused", func() {
 		refused(p)
 		f.expectPrimary("")
