--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -187,9 +187,14 @@
 
 // newHome returns a home of the fake endpoint.
 func newHome(fake *fakeEndpoint) *endpoint.Home {
+	return newHomeOn(fake, timer.NewSystem())
+}
+
+// newHomeOn returns a home on a clock.
+func newHomeOn(fake *fakeEndpoint, clock timer.Service) *endpoint.Home {
 	return endpoint.New(endpoint.Config{
 		Dialer:    fake,
-		Timer:     timer.NewSystem(),
+		Timer:     clock,
 		Log:       logr.Discard(),
 		Registry:  metrics.NewRegistry(),
 		Lookup:    func(id string) (catalog.Endpoint, bool) { return target, id == target.Key.ID },
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -237,6 +237,7 @@
 	h.config.Metrics.openTransactions.Update(int64(len(h.transactions)))
 	var unused []*node
 	for key, n := range h.nodes {
+		n.trim(now)
 		n.mu.Lock()
 		quiet := now.Sub(n.lastUsed) > idleNode && n.pinned == 0
 		n.mu.Unlock()
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	// failedPause after a connection could not be opened, in which no other is tried, so that waiting
 	// statements do not each wait for an endpoint that is gone.
 	failedPause = 100 * time.Millisecond
+	// idleLife of a connection that no statement uses. An endpoint counts those of a home
+	// that has lost power for 3 s more, so that the next home finds few left.
+	idleLife = 4 * time.Second
 	// claimPause before another look for a connection, about the time of a short
 	// statement.
 	claimPause = 15 * time.Millisecond
@@ -38,6 +42,8 @@
 	nextName  int
 	// state is the one that the endpoint reported last.
 	state statement.State
+	// rested is when the connection was given back last.
+	rested time.Time
 }
 
 // Run runs commands and keeps the state that they leave.
@@ -216,6 +222,7 @@
 // put takes a connection back, and closes it unless it can be used again. One with an
 // open transaction never is.
 func (n *node) put(c *pooled, reusable bool) {
+	c.rested = n.config.Timer.Now()
 	n.mu.Lock()
 	keep := reusable && c.state == statement.Idle && !n.closed && n.open <= n.limit
 	if keep {
@@ -229,6 +236,23 @@
 	}
 }
 
+// trim closes the connections that have rested for long.
+func (n *node) trim(now time.Time) {
+	n.mu.Lock()
+	// The connections are in the order in which they were given back.
+	count := 0
+	for count < len(n.idle) && now.Sub(n.idle[count].rested) > idleLife {
+		count++
+	}
+	old := slices.Clone(n.idle[:count])
+	n.idle = slices.Delete(n.idle, 0, count)
+	n.open -= count
+	n.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
 // closeIdle closes the connections that no statement uses.
 func (n *node) closeIdle() {
 	n.mu.Lock()
--- a/engine/endpoint/transaction_test.go
+++ b/engine/endpoint/transaction_test.go
@@ -12,6 +12,7 @@
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
 	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/timer"
 )
 
 var _ = Describe("transactions", func() {
@@ -200,6 +201,27 @@
 		expectRefused(home.Run(ctx, request(peer.Single, "WRITE a b", short)), refusal.NotRun, refusal.Overloaded)
 	})
 
+	// Endpoints count the connections of a VM that has lost power for 3 s more, so that
+	// a home which keeps all that it ever needed leaves none to its successor.
+	It("are closed when they have rested for long, and only those", func() {
+		fake := &fakeEndpoint{}
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home := newHomeOn(fake, clock)
+		present := func(catalog.EndpointKey) bool { return true }
+		expectServed(home.Run(ctx, request(peer.Single, "READ a")))
+		clock.Advance(3 * time.Second)
+		expectServed(home.Run(ctx, request(peer.Single, "READ b", func(r *peer.Run) { r.Workspace = "other" })))
+		home.Sweep(present)
+		Expect(fake.connections()).To(Equal(2))
+		clock.Advance(2 * time.Second)
+		home.Sweep(present)
+		Expect(fake.connections()).To(Equal(1))
+		clock.Advance(10 * time.Second)
+		home.Sweep(present)
+		Expect(fake.connections()).To(BeZero())
+		expectServed(home.Run(ctx, request(peer.Single, "READ c")))
+	})
+
 	It("are used by the first home only, once this VM is not", func() {
 		fake := &fakeEndpoint{}
 		home := newHome(fake)
