Promote only with enough replicas' answers where replicas confirm commits; survive failing accepts

Cause: found by reading for deployments with sync_replicas: a replica that does not answer may be the only one that holds an acknowledged commit. And a listener that could not accept ended the process. Tests fail before.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -100,6 +100,21 @@
 	return !a.Leader && a.Reached == 0 && 2*(a.Unreached+1) > a.Asked+1 && a.Unreached > 0
 }
 
+// ReplicaMemory is how long a replica that is no longer reported counts as one that may
+// hold an acknowledged commit. After it, its log is taken to be lost.
+const ReplicaMemory = 10 * time.Second
+
+// Enough tells whether the endpoints that told what they have received are sure to hold
+// each acknowledged commit among them. Known counts the database's replicas, and
+// syncReplicas how many of them confirm a commit before it is acknowledged; with none,
+// nothing is promised and any answer is enough.
+func Enough(answered, known, syncReplicas int) bool {
+	if syncReplicas == 0 {
+		return answered > 0
+	}
+	return answered > 0 && answered > known-syncReplicas
+}
+
 // Candidate is an endpoint that may be promoted.
 type Candidate struct {
 	ID       string
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -96,6 +96,22 @@
 	)
 })
 
+var _ = Describe("Enough", func() {
+	// An acknowledged commit is on as many replicas as confirm it, and on any of them.
+	DescribeTable("answers hold each acknowledged commit",
+		func(answered, known, syncReplicas int, enough bool) {
+			Expect(takeover.Enough(answered, known, syncReplicas)).To(Equal(enough))
+		},
+		Entry("none answered", 0, 2, 0, false),
+		Entry("nothing is promised", 1, 2, 0, true),
+		Entry("one of two, of which one confirms", 1, 2, 1, false),
+		Entry("both of two", 2, 2, 1, true),
+		Entry("one of two, of which both confirm", 1, 2, 2, true),
+		Entry("the only one left", 1, 1, 1, true),
+		Entry("none is known any longer", 0, 0, 1, false),
+	)
+})
+
 var _ = Describe("Choose", func() {
 	position := func(index uint64) logpos.Position {
 		return logpos.Position{
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -90,6 +90,8 @@
 	verifyAfter    time.Duration
 	orderedAt      time.Duration
 	lastPrimary    catalog.Endpoint
+	// replicas holds when each was reported last.
+	replicas map[catalog.EndpointKey]time.Duration
 }
 
 // New returns a Part that does nothing yet.
@@ -178,6 +180,7 @@
 	}
 	primary, reported := p.reported(name)
 	now := p.config.Timer.Boot()
+	d.remember(p.config.View.Members(name), primary, now)
 	switch {
 	case reported:
 		d.missingSince = 0
@@ -209,6 +212,35 @@
 	}
 }
 
+// remember records which replicas there are.
+func (d *database) remember(members []catalog.Endpoint, primary catalog.Endpoint, now time.Duration) {
+	for _, e := range members {
+		if e.Key != primary.Key {
+			d.replicas[e.Key] = now
+		}
+	}
+	delete(d.replicas, primary.Key)
+	for key, seen := range d.replicas {
+		if now-seen > takeover.ReplicaMemory {
+			delete(d.replicas, key)
+		}
+	}
+}
+
+// knownReplicas counts the replicas that may hold acknowledged commits, without the old
+// primary.
+func (p *Part) knownReplicas(name string, old catalog.Endpoint) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for key := range p.database(name).replicas {
+		if key != old.Key {
+			count++
+		}
+	}
+	return count
+}
+
 // start runs one thing at a time for a database. The caller holds the lock.
 func (p *Part) start(d *database, run func()) {
 	d.busy = true
@@ -229,7 +261,7 @@
 func (p *Part) database(name string) *database {
 	d, ok := p.databases[name]
 	if !ok {
-		d = &database{}
+		d = &database{replicas: map[catalog.EndpointKey]time.Duration{}}
 		p.databases[name] = d
 	}
 	return d
--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -228,6 +228,24 @@
 		f.expectPromotion("c")
 	})
 
+	// The replica that did not answer may be the one that confirmed the last commit.
+	It("whose commits a replica confirms is replaced only once all replicas answer", func() {
+		f.view.AcceptConfiguration(&catalog.Configuration{
+			Version: 2,
+			Databases: map[string]catalog.Database{"db": {
+				Name:         "db",
+				SyncReplicas: 1,
+			}},
+		}, "test")
+		f.database.set(func() {
+			f.database.lost["a"] = true
+			f.database.lost["c"] = true
+		})
+		f.expectNoOrder()
+		f.database.set(func() { f.database.lost["c"] = false })
+		f.expectPromotion("c")
+	})
+
 	It("that leaves hands over only to an endpoint that has received all of its log", func() {
 		go func() {
 			time.Sleep(400 * time.Millisecond)
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -34,9 +34,12 @@
 
 // replace promotes the reachable endpoint that has received most.
 func (p *Part) replace(ctx context.Context, name string, old catalog.Endpoint, cause string) {
-	chosen, ok := takeover.Choose(p.candidates(ctx, name, old))
-	if !ok {
-		p.config.Log.Info("No endpoint can lead the database.", "database", name, "cause", cause)
+	answered := p.candidates(ctx, name, old)
+	known, confirming := p.knownReplicas(name, old), p.syncReplicas(name)
+	chosen, ok := takeover.Choose(answered)
+	if !ok || !takeover.Enough(len(answered), known, confirming) {
+		p.config.Log.Info("No endpoint can lead the database.", "database", name, "cause", cause, "answered", len(answered), "replicas", known,
+			"syncReplicas", confirming)
 		return
 	}
 	p.order(ctx, name, chosen, cause)
@@ -81,15 +84,27 @@
 	}
 }
 
-// candidates asks all members but the old primary for what they have received.
+// syncReplicas returns how many replicas confirm a commit of the database.
+func (p *Part) syncReplicas(name string) int {
+	c := p.config.View.Configuration()
+	if c == nil {
+		return 0
+	}
+	return c.Databases[name].SyncReplicas
+}
+
+// candidates asks all members but the old primary for what they have received. One
+// that is leaving counts only where commits are confirmed by replicas, since it may be
+// the only one that holds such a commit.
 func (p *Part) candidates(ctx context.Context, name string, old catalog.Endpoint) []takeover.Candidate {
 	var (
 		mu         sync.Mutex
 		candidates []takeover.Candidate
 		asked      sync.WaitGroup
 	)
+	confirming := p.syncReplicas(name)
 	for _, e := range p.config.View.Members(name) {
-		if e.Key == old.Key || e.Draining {
+		if e.Key == old.Key || (e.Draining && confirming == 0) {
 			continue
 		}
 		asked.Go(func() {
--- a/engine/peer/server.go
+++ b/engine/peer/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
@@ -13,6 +14,10 @@
 	"amaranthdock.dev/timer"
 )
 
+// acceptPause after a connection could not be accepted, for example for want of
+// descriptors.
+const acceptPause = 20 * time.Millisecond
+
 // serviceName of the calls between VMs.
 const serviceName = "VM"
 
@@ -66,7 +71,11 @@
 			return nil
 		}
 		if err != nil {
-			return eris.Wrap(err, "accept connections of other VMs")
+			s.config.Log.Info("A VM could not be accepted.", "error", err.Error())
+			if err := timer.Sleep(ctx, s.config.Timer, acceptPause); err != nil {
+				return eris.Wrap(err, "accept connections of other VMs")
+			}
+			continue
 		}
 		go s.serve(ctx, connection)
 	}
