--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -36,14 +36,14 @@
 
 // Route leads from the name that callers use to a database.
 type Route struct {
-	Host          string
-	Database      string
-	Kind          RouteKind
-	Public        bool
-	Priority      int
-	Timeout       time.Duration
-	TargetLatency time.Duration
-	MaxStaleness  time.Duration
+	Host     string
+	Database string
+	Kind     RouteKind
+	Public   bool
+	// Timeout of one statement.
+	Timeout time.Duration
+	// MaxStaleness is the largest age of what a read returns; 0 where it must be new.
+	MaxStaleness time.Duration
 }
 
 // Database is a group of endpoints that replicate one log.
--- a/engine/endpoint/ask.go
+++ b/engine/endpoint/ask.go
@@ -17,7 +17,7 @@
 	controlWorkspace = "-"
 )
 
-// Ask runs one of Status, Pause, Resume and StepDown at an endpoint, on a connection
+// Ask runs Status or StepDown at an endpoint, on a connection
 // of its own, because it must work when all others are in use or have gone silent.
 func (h *Home) Ask(ctx context.Context, target catalog.Endpoint, command Command) (*Report, error) {
 	child, cancel := timer.WithTimeout(ctx, h.config.Timer, askTimeout)
--- a/engine/endpoint/port.go
+++ b/engine/endpoint/port.go
@@ -32,8 +32,8 @@
 	Close()
 }
 
-// Command is Forward, Begin, Commit, Rollback, Set, Prepare, Discard, Status, Pause,
-// Resume or StepDown.
+// Command is Forward, Execute, Begin, Commit, Rollback, Set, Prepare, Discard, Status
+// or StepDown.
 type Command interface{ command() }
 
 // Forward is a caller's read or write, with its id and text unchanged.
@@ -84,15 +84,6 @@
 // Status asks an endpoint for its role and positions.
 type Status struct{}
 
-// Pause stops a replica from receiving, until Resume or a promotion, if the term
-// is above the newest that it knows.
-type Pause struct {
-	Term uint64
-}
-
-// Resume ends a Pause.
-type Resume struct{}
-
 // StepDown makes a primary of a lower term a replica.
 type StepDown struct {
 	Term uint64
@@ -107,8 +98,6 @@
 func (Prepare) command()  {}
 func (Discard) command()  {}
 func (Status) command()   {}
-func (Pause) command()    {}
-func (Resume) command()   {}
 func (StepDown) command() {}
 
 // Reply is the whole answer to one command.
@@ -119,7 +108,7 @@
 	Problem  *ReplyError
 	State    statement.State
 	Position logpos.Position
-	// Report is set in the reply to Status, Pause, Resume and StepDown.
+	// Report is set in the reply to Status and StepDown.
 	Report *Report
 }
 
@@ -128,7 +117,7 @@
 	Role     catalog.Role
 	Term     uint64
 	Received logpos.Position
-	// TermHeld is the highest term that the endpoint accepted.
+	// TermHeld is a term in which the endpoint was told to stop receiving; 0 for none.
 	TermHeld    uint64
 	Lag         time.Duration
 	Busy        int
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -43,7 +43,7 @@
 
 // Prober asks endpoints for their reports.
 type Prober interface {
-	// Ask runs one of Status, Pause, Resume and StepDown at an endpoint.
+	// Ask runs Status or StepDown at an endpoint.
 	Ask(ctx context.Context, target catalog.Endpoint, command endpoint.Command) (*endpoint.Report, error)
 }
 
