--- a/engine/endpoint/ask.go
+++ b/engine/endpoint/ask.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// askTimeout for the report of an endpoint, long enough for a slot of a busy one.
-	askTimeout = 600 * time.Millisecond
+	// AskTimeout for the report of an endpoint, long enough for a slot of a busy one: its
+	// home keeps hardly any statement waiting there.
+	AskTimeout = 400 * time.Millisecond
 	// controlWorkspace under which connections without a caller are opened.
 	controlWorkspace = "-"
 )
@@ -20,14 +21,14 @@
 // Ask runs Status or StepDown at an endpoint, on a connection
 // of its own, because it must work when all others are in use or have gone silent.
 func (h *Home) Ask(ctx context.Context, target catalog.Endpoint, command Command) (*Report, error) {
-	child, cancel := timer.WithTimeout(ctx, h.config.Timer, askTimeout)
+	child, cancel := timer.WithTimeout(ctx, h.config.Timer, AskTimeout)
 	defer cancel()
 	c, err := h.config.Dialer.Dial(child, target, controlWorkspace)
 	if err != nil {
 		return nil, err
 	}
 	defer c.Close()
-	replies, err := c.Run(askTimeout, []Command{command})
+	replies, err := c.Run(AskTimeout, []Command{command})
 	if err != nil {
 		return nil, err
 	}
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -41,6 +41,14 @@
 	hold chan struct{}
 	// silent endpoints accept no connection.
 	silent bool
+	// told counts the calls of Unanswered.
+	told int
+}
+
+func (f *fakeEndpoint) tell(catalog.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told++
 }
 
 var errLost = errors.New("the connection was lost")
@@ -193,12 +201,13 @@
 // newHomeOn returns a home on a clock.
 func newHomeOn(fake *fakeEndpoint, clock timer.Service) *endpoint.Home {
 	return endpoint.New(endpoint.Config{
-		Dialer:    fake,
-		Timer:     clock,
-		Log:       logr.Discard(),
-		Registry:  metrics.NewRegistry(),
-		Lookup:    func(id string) (catalog.Endpoint, bool) { return target, id == target.Key.ID },
-		FirstHome: func(catalog.Endpoint) bool { return true },
+		Dialer:     fake,
+		Unanswered: fake.tell,
+		Timer:      clock,
+		Log:        logr.Discard(),
+		Registry:   metrics.NewRegistry(),
+		Lookup:     func(id string) (catalog.Endpoint, bool) { return target, id == target.Key.ID },
+		FirstHome:  func(catalog.Endpoint) bool { return true },
 	})
 }
 
--- a/engine/endpoint/home_test.go
+++ b/engine/endpoint/home_test.go
@@ -12,6 +12,7 @@
 	"amaranthdock.dev/engine/endpoint"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
+	"amaranthdock.dev/timer"
 )
 
 var _ = Describe("single statements", func() {
@@ -96,6 +97,26 @@
 		Entry("a code that is not known", endpoint.CodeUnknown, refusal.Unknown, refusal.StatementFailed),
 	)
 
+	// The leader was told of a silent primary only when the first statement's time was
+	// over, half a second later.
+	It("tell on an endpoint that is quiet before their own time is over", func() {
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home = newHomeOn(fake, clock)
+		fake.hold = make(chan struct{})
+		for range 2 {
+			go home.Run(ctx, request(peer.Single, "READ a"))
+		}
+		Eventually(fake.commands).Should(HaveLen(4))
+		clock.Advance(300 * time.Millisecond)
+		go home.Run(ctx, request(peer.Single, "READ b"))
+		Eventually(func() int {
+			fake.mu.Lock()
+			defer fake.mu.Unlock()
+			return fake.told
+		}).Should(Equal(1))
+		close(fake.hold)
+	})
+
 	It("are refused without a wait at an endpoint that did not answer a moment ago", func() {
 		fake.silent = true
 		expectRefused(home.Run(ctx, request(peer.Single, "READ a")), refusal.NotRun, refusal.Unreachable)
--- a/engine/endpoint/node.go
+++ b/engine/endpoint/node.go
@@ -27,6 +27,9 @@
 	// failureLogInterval between two log lines that one endpoint does not answer, since
 	// one that loses some answers would fill the log.
 	failureLogInterval = time.Second
+	// quietLimit without an answer to any of the statements at an endpoint, after which
+	// the leader is asked to look at it. Longer statements cost one look.
+	quietLimit = 250 * time.Millisecond
 	// unansweredInterval between two calls of Unanswered for one endpoint.
 	unansweredInterval = 200 * time.Millisecond
 )
@@ -54,7 +57,9 @@
 	failureLoggedAt time.Time
 	dialFailedAt    time.Time
 	reportedAt      time.Time
-	sample          staleness.Sample
+	// progress is when the endpoint answered last, or began to be busy.
+	progress time.Time
+	sample   staleness.Sample
 }
 
 func newNode(config *Config, target catalog.Endpoint) *node {
@@ -127,6 +132,7 @@
 	n.waiters[n.nextItem] = admitted
 	item := n.nextItem
 	n.pump()
+	n.watch(now)
 	return item, admitted, nil
 }
 
@@ -160,6 +166,9 @@
 	for {
 		switch decided := n.queue.Next(n.config.Timer.Now()).(type) {
 		case scheduling.Run:
+			if n.queue.Running() == 1 {
+				n.progress = n.config.Timer.Now()
+			}
 			n.wake(decided.Item.ID, nil)
 		case scheduling.Expired:
 			n.wake(decided.Item.ID, refusal.NewNotRun(refusal.QueueTimeout, "no slot of the endpoint was free in time"))
@@ -238,9 +247,22 @@
 	return n.queue.ExpectedWait(n.config.Timer.Now(), workspace)
 }
 
+// watch tells on an endpoint that has been quiet for long while statements run there,
+// before their own time is over. The caller holds the lock.
+func (n *node) watch(now time.Time) {
+	if n.queue.Running() == 0 || now.Sub(n.progress) < quietLimit || now.Sub(n.reportedAt) < unansweredInterval {
+		return
+	}
+	n.reportedAt = now
+	if n.config.Unanswered != nil {
+		go n.config.Unanswered(n.target)
+	}
+}
+
 func (n *node) answered() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.progress = n.config.Timer.Now()
 	if !n.failing {
 		return
 	}
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -28,10 +28,8 @@
 	// verifiers are asked at most, besides the leader: all others of a small fleet, and
 	// enough of a large one that a group which is cut off is not their majority.
 	verifiers = 8
-	// askTimeout for an endpoint's report, long enough for a slot of a busy one.
-	askTimeout = 600 * time.Millisecond
 	// confirmTimeout for the answer of a VM that tries an endpoint.
-	confirmTimeout = askTimeout + 200*time.Millisecond
+	confirmTimeout = endpoint.AskTimeout + 200*time.Millisecond
 )
 
 // Orders promotes endpoints.
