--- a/engine/caller/dispatch_test.go
+++ b/engine/caller/dispatch_test.go
@@ -185,6 +185,18 @@
 		expectRefused(do(f.open("own"), statement.Write{}, "WRITE a b"), refusal.NotRun, refusal.Overloaded, statement.Idle)
 		Expect(f.fleet.steps()).To(HaveLen(1))
 	})
+
+	// The workspace paid with its limit for operations that were turned away.
+	It("give their token back when they did not run, and only then", func() {
+		f.fleet.answer = refuseAt(refusal.NewNotRun(refusal.Overloaded, "full"), "p")
+		do(f.open("own"), statement.Write{}, "WRITE a b")
+		Expect(f.fleet.refunds).To(Equal(1))
+		f.fleet.answer = refuseAt(refusal.NewUnknown(refusal.OutcomeNotKnown, "lost"), "p")
+		do(f.open("own"), statement.Write{}, "WRITE a b")
+		f.fleet.answer = nil
+		do(f.open("own"), statement.Write{}, "WRITE a b")
+		Expect(f.fleet.refunds).To(Equal(1))
+	})
 })
 
 var _ = Describe("samples", func() {
--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -34,6 +34,7 @@
 	answer func(vm string, request *peer.Run) (*peer.Ran, error)
 	// refuse the workspace's limit.
 	limited *refusal.Error
+	refunds int
 }
 
 func (f *fakeFleet) run(vm string, request *peer.Run) (*peer.Ran, error) {
@@ -85,6 +86,12 @@
 	return nil
 }
 
+func (f *fakeFleet) Refund(string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refunds++
+}
+
 // steps returns the endpoints and texts of what was run, without samples.
 func (f *fakeFleet) steps() []string {
 	f.mu.Lock()
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -52,6 +52,7 @@
 	d := s.dispatch(admitted, forward, started)
 	ran := d.run(ctx)
 	if ran.Refused != nil {
+		s.sessions.refund(admitted, ran.Refused)
 		return s.refused(request, admitted, ran.Refused, started)
 	}
 	// A proven primary of a newer term may have dropped what the session wrote in an
@@ -73,6 +74,7 @@
 	d := s.dispatch(t.admission, forward, started)
 	ran := d.run(ctx)
 	if ran.Refused != nil {
+		s.sessions.refund(t.admission, ran.Refused)
 		return s.refused(request, t.admission, ran.Refused, started)
 	}
 	t.placed = true
@@ -191,6 +193,17 @@
 	return s.config.Limits.Admit(ctx, a.workspace)
 }
 
+// refund gives back the token of an operation that no endpoint has run any part of.
+func (s *Sessions) refund(a admission, refused *refusal.Error) {
+	if a.route.Public || refused.Outcome != refusal.NotRun {
+		return
+	}
+	switch refused.Reason {
+	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort, refusal.NoPrimary, refusal.NotPrimary, refusal.ReplicaBehind:
+		s.config.Limits.Refund(a.workspace)
+	}
+}
+
 // served counts a success and logs where the statement ran and what decided it.
 func (s *Session) served(a admission, request *peer.Run, home catalog.VM, ran *peer.Ran, started time.Time) statement.Answer {
 	took := s.sessions.config.Timer.Now().Sub(started)
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -36,6 +36,8 @@
 type Limits interface {
 	// Admit returns a *refusal.Error, as not run, beyond the workspace's limit.
 	Admit(ctx context.Context, workspace string) error
+	// Refund takes back the token of an operation that was refused before it ran.
+	Refund(workspace string)
 }
 
 // Config configures Sessions.
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -186,6 +186,23 @@
 	w.waiting--
 }
 
+// Refund takes back the token of an operation that was refused before it ran. It may be
+// spent as long as a loan.
+func (l *Limits) Refund(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w, ok := l.workspace(name)
+	if !ok {
+		return
+	}
+	boot := l.config.Timer.Boot()
+	if boot >= w.creditUntil {
+		w.credit = 0
+		w.creditUntil = boot + creditLife
+	}
+	w.credit++
+}
+
 // Lend gives away what waiting requests need, and of what they are expected to need
 // soon at most half of the tokens that this VM holds, because a loan that is not
 // spent is lost.
--- a/engine/lending/lending_test.go
+++ b/engine/lending/lending_test.go
@@ -233,6 +233,19 @@
 		expectAdmitted(f.floodFor(5*time.Second, all(7)...), 25, 7+5*7+1)
 	})
 
+	It("take back the token of an operation that did not run, for a short time", func() {
+		f := newFleet(1, rate, burst)
+		f.clock.Advance(10 * time.Second)
+		f.flood(name(0))
+		f.limits[name(0)].Refund("ws")
+		f.limits[name(0)].Refund("ws")
+		Expect(f.flood(name(0))).To(Equal(2))
+		f.declare(0, burst)
+		f.limits[name(0)].Refund("ws")
+		f.clock.Advance(time.Second)
+		Expect(f.flood(name(0))).To(BeZero())
+	})
+
 	It("spend no loan that arrives late", func() {
 		f := newFleet(7, rate, burst)
 		f.clock.Advance(10 * time.Second)
