--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -197,7 +197,9 @@
 // preparationFailed answers for a statement whose preceding commands failed. A read
 // did no harm; a write may have run without the session's values.
 func (h *Home) preparationFailed(request *peer.Run, reply Reply, problem *ReplyError) *peer.Ran {
-	h.config.Log.Info("A command before the statement failed.", "request", request.ID, "problem", problem.Text)
+	if problem.Code != NotPrimary {
+		h.config.Log.Info("A command before the statement failed.", "request", request.ID, "problem", problem.Text)
+	}
 	if request.Write && reply.Problem == nil {
 		return refused(refusal.NewUnknown(refusal.OutcomeNotKnown, "the session could not be set up at the endpoint"))
 	}
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -44,7 +44,7 @@
 	return peer.SuspicionReply{}
 }
 
-// start returns a VM that asks others. The seeds are all that it
+// start returns a VM that answers others. The seeds are all that it
 // knows of them.
 func start(name string, seeds ...netip.AddrPort) *vm {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
