--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -48,6 +48,7 @@
 type Part struct {
 	config  Config
 	leaving atomic.Bool
+	seeds   atomic.Pointer[[]netip.AddrPort]
 
 	// digest is that of digestOf.
 	mu       sync.Mutex
@@ -57,9 +58,14 @@
 
 // New returns a Part that does nothing yet.
 func New(config Config) *Part {
-	return &Part{config: config}
+	p := &Part{config: config}
+	p.SetSeeds(config.Seeds)
+	return p
 }
 
+// SetSeeds changes the addresses to ask while no other VM is known.
+func (p *Part) SetSeeds(seeds []netip.AddrPort) { p.seeds.Store(&seeds) }
+
 // Leave tells the others, from now on, that this VM takes no new work.
 func (p *Part) Leave() { p.leaving.Store(true) }
 
@@ -91,7 +97,7 @@
 func (p *Part) ask(ctx context.Context) {
 	peers := p.config.View.Peers()
 	if len(peers) == 0 {
-		for _, address := range p.config.Seeds {
+		for _, address := range *p.seeds.Load() {
 			if address != p.config.View.Self().Address {
 				peers = append(peers, catalog.VM{
 					Name:    address.String(),
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -80,6 +80,8 @@
 	started     time.Duration
 	leaving     atomic.Bool
 	ready       atomic.Bool
+	// grace is the time from the start of leaving to the end of the process.
+	grace atomic.Int64
 
 	randomMu sync.Mutex
 }
@@ -94,6 +96,7 @@
 		connections: caller.NewConnections(config.Timer),
 		started:     config.Timer.Boot(),
 	}
+	v.grace.Store(int64(config.Grace))
 	v.links = peer.NewLinks(peer.LinksConfig{
 		Dial:  config.DialVM,
 		Timer: config.Timer,
@@ -216,7 +219,7 @@
 // leave hands over what this VM does for others, while its own callers' work ends.
 func (v *VM) leave(working context.Context, deregister func(), ending *sync.WaitGroup) {
 	v.config.Log.Info("Leaving.", "connections", v.connections.Open(), "transactions", v.home.OpenTransactions())
-	grace := v.config.Grace
+	grace := time.Duration(v.grace.Load())
 	v.leaving.Store(true)
 	v.gossip.Leave()
 	v.gossip.Announce(working)
@@ -243,6 +246,12 @@
 	}
 }
 
+// Reconfigure takes settings that may change while the process runs.
+func (v *VM) Reconfigure(seeds []netip.AddrPort, grace time.Duration) {
+	v.gossip.SetSeeds(seeds)
+	v.grace.Store(int64(grace))
+}
+
 // Ready returns why the load balancer should send nothing; nil if it should.
 func (v *VM) Ready() error {
 	err := v.unready()
