--- a/engine/peer/links.go
+++ b/engine/peer/links.go
@@ -23,10 +23,10 @@
 	dialTimeout = 300 * time.Millisecond
 	// quietBefore is how long a call may be unanswered before the link is tested,
 	// which is longer than most statements take.
-	quietBefore = 300 * time.Millisecond
+	quietBefore = 200 * time.Millisecond
 	// testTimeout for the answer to a test. A VM with a tenth of a second without
 	// processor time still answers in time.
-	testTimeout = 500 * time.Millisecond
+	testTimeout = 350 * time.Millisecond
 	// writeTimeout for a message to a VM that takes none.
 	writeTimeout = time.Second
 	// downPause before the next try at a VM that could not be reached; it doubles with
