--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -81,7 +81,6 @@
 	t.key = d.request.Transaction
 	t.endpoint = d.endpoint
 	t.home = d.home
-	t.required = d.request.After
 	t.wrote = forward.Write
 	return s.served(t.admission, d.request, d.home, ran, started)
 }
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -104,8 +104,6 @@
 	home      catalog.VM
 	wrote     bool
 	admission admission
-	// required is the position that the reads of the transaction see at least.
-	required logpos.Position
 }
 
 // startWait for the first configuration of a VM that has just started. Callers give
