Promise that a commit which was not sent has not run; take a token for empty transactions

Found by reading: a commit whose home could not be reached was reported as in doubt, and a transaction without statements reached an endpoint beyond its limit. Tests fail before.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -243,7 +243,7 @@
 			return &peer.Ran{Refused: refusal.NewUnknown(refusal.OutcomeNotKnown, "the home was lost before it answered the write")}
 		case err != nil && d.request.Step == peer.First:
 			// The statement may have run, so it must not run again in another transaction.
-			return &peer.Ran{Refused: lostStep(d.request)}
+			return &peer.Ran{Refused: lostStep(d.request, err)}
 		case err != nil:
 			last = &peer.Ran{Refused: refusal.NewNotRun(refusal.Unreachable, "the home was lost before it answered")}
 			continue
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -97,7 +98,7 @@
 	}
 	ran, err := s.sessions.call(ctx, t.home, forward)
 	if err != nil {
-		ran = &peer.Ran{Refused: lostStep(forward)}
+		ran = &peer.Ran{Refused: lostStep(forward, err)}
 	}
 	if ran.Refused != nil {
 		if ran.Refused.Outcome != refusal.NotRun && forward.Step != peer.CommitStep && ran.Refused.Reason != refusal.StatementFailed {
@@ -111,9 +112,9 @@
 }
 
 // lostStep answers for a step whose home was lost. The home rolls the transaction
-// back unless it had the commit.
-func lostStep(forward *peer.Run) *refusal.Error {
-	if forward.Step == peer.CommitStep {
+// back unless the commit was sent.
+func lostStep(forward *peer.Run, err error) *refusal.Error {
+	if forward.Step == peer.CommitStep && !errors.Is(err, peer.ErrUnreachable) {
 		return refusal.NewUnknown(refusal.OutcomeNotKnown, "the home was lost before it answered the commit")
 	}
 	return refusal.NewNotRun(refusal.TransactionConflict, "the home of the transaction was lost before its commit")
@@ -128,6 +129,10 @@
 	}
 	started := s.sessions.config.Timer.Now()
 	if !t.placed {
+		if err := s.sessions.admit(ctx, t.admission); err != nil {
+			s.transaction = nil
+			return s.refused(request, t.admission, err, started)
+		}
 		opening := s.forward(t.admission, statement.Request{}, work{})
 		if answer := s.first(ctx, request, opening, started); answer.Refused != nil {
 			s.transaction = nil
--- a/engine/caller/session_test.go
+++ b/engine/caller/session_test.go
@@ -198,6 +198,30 @@
 		Entry("at the commit", peer.CommitStep, refusal.Unknown, refusal.OutcomeNotKnown, statement.Idle),
 	)
 
+	It("whose commit was not sent has certainly not run", func() {
+		f.view.AcceptVMs(&catalog.VMs{
+			Revision: 2,
+			ByName: map[string]catalog.VM{"other": {
+				Name:       "other",
+				DataCentre: "a1",
+				Region:     "a",
+			}},
+		}, "test")
+		s := f.open("own")
+		do(s, statement.Begin{}, "BEGIN")
+		do(s, statement.Write{}, "WRITE a b")
+		f.fleet.answer = func(string, *peer.Run) (*peer.Ran, error) { return nil, peer.ErrUnreachable }
+		expectRefused(do(s, statement.Commit{}, "COMMIT"), refusal.NotRun, refusal.TransactionConflict, statement.Idle)
+	})
+
+	It("without statements takes a token all the same", func() {
+		s := f.open("own")
+		do(s, statement.Begin{}, "BEGIN")
+		f.fleet.limited = refusal.NewNotRun(refusal.RateExceeded, "limited")
+		expectRefused(do(s, statement.Commit{}, "COMMIT"), refusal.NotRun, refusal.RateExceeded, statement.Idle)
+		Expect(f.fleet.steps()).To(BeEmpty())
+	})
+
 	It("keeps its route when the configuration changes", func() {
 		s := f.open("own")
 		do(s, statement.Begin{}, "BEGIN")
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// Admit takes a token of the workspace, and waits for one loan at most. It returns a
+// Admit takes a token of the workspace, and waits for two loans at most. It returns a
 // *refusal.Error, as not run.
 func (l *Limits) Admit(ctx context.Context, name string) error {
 	for try := 0; ; try++ {
