Simplify homes after a read-through

Ruled out: joining failover's and endpoint's timeouts, which answer different waits. No behaviour changes and no test was touched.

--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"amaranthdock.dev/decision/logpos"
@@ -16,11 +15,6 @@
 // defaultTimeout of a statement whose route states none.
 const defaultTimeout = 3 * time.Second
 
-// sequences numbers the transactions of this process.
-type sequences struct {
-	last atomic.Uint64
-}
-
 // run runs a read or write, as a single statement or in the open transaction.
 func (s *Session) run(ctx context.Context, request statement.Request, w work) statement.Answer {
 	started := s.sessions.config.Timer.Now()
@@ -70,7 +64,7 @@
 	forward.Step = peer.First
 	forward.Transaction = peer.TransactionKey{
 		Process: s.sessions.config.View.Self().Incarnation,
-		Number:  s.sessions.sequences.last.Add(1),
+		Number:  s.sessions.lastTransaction.Add(1),
 	}
 	d := s.dispatch(t.admission, forward, started)
 	ran := d.run(ctx)
--- a/engine/caller/sample.go
+++ b/engine/caller/sample.go
@@ -62,14 +62,13 @@
 		Timeout:        sampleTimeout,
 	}
 	began := s.config.View.Boot()
-	for _, home := range s.config.View.Homes(primary)[:1] {
-		ran, err := s.call(context.Background(), home, request)
-		if err != nil {
-			s.config.Log.V(1).Info("No position of the primary.", "database", database, "peer", home.Name, "error", err.Error())
-			return
-		}
-		if ran.ProvedPrimary {
-			s.config.View.Sampled(database, began-ran.Age, ran.Position)
-		}
+	home := s.config.View.Homes(primary)[0]
+	ran, err := s.call(context.Background(), home, request)
+	if err != nil {
+		s.config.Log.V(1).Info("No position of the primary.", "database", database, "peer", home.Name, "error", err.Error())
+		return
+	}
+	if ran.ProvedPrimary {
+		s.config.View.Sampled(database, began-ran.Age, ran.Position)
 	}
 }
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -55,10 +55,11 @@
 
 // Sessions opens sessions.
 type Sessions struct {
-	config    Config
-	outcomes  *outcomes
-	sampling  sampling
-	sequences sequences
+	config   Config
+	outcomes *outcomes
+	sampling sampling
+	// lastTransaction is the number of the newest transaction of this process.
+	lastTransaction atomic.Uint64
 	// joined is set once this VM has had a configuration and a place in the fleet.
 	joined atomic.Bool
 }
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -12,7 +12,6 @@
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/peer"
-	"amaranthdock.dev/engine/statement"
 	"amaranthdock.dev/timer"
 )
 
@@ -81,7 +80,7 @@
 	if !ran.ProvedPrimary || request.Step == peer.Position {
 		return ran
 	}
-	if n, err := h.node(request); err == nil {
+	if n, ok := h.existing(request.Endpoint); ok {
 		n.take(staleness.Sample{
 			At:       began,
 			Position: ran.Position,
@@ -130,6 +129,18 @@
 	return n, nil
 }
 
+// existing returns the node of an endpoint that this home has used.
+func (h *Home) existing(id string) (*node, bool) {
+	target, known := h.config.Lookup(id)
+	if !known {
+		return nil, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n, ok := h.nodes[target.Key]
+	return n, ok
+}
+
 // single runs a statement outside of a transaction. Reads without an answer are run
 // again on another connection while their time allows.
 func (h *Home) single(ctx context.Context, request *peer.Run, deadline time.Time) *peer.Ran {
@@ -182,12 +193,12 @@
 	n.answered()
 	for _, r := range replies[:position] {
 		if r.Problem != nil {
-			n.put(c, replies[len(replies)-1].State == statement.Idle && r.Problem.Code == NotPrimary)
+			n.put(c, r.Problem.Code == NotPrimary)
 			return h.preparationFailed(request, replies[position], r.Problem), false
 		}
 	}
 	reply := replies[position]
-	n.put(c, replies[len(replies)-1].State == statement.Idle)
+	n.put(c, true)
 	return ranFrom(reply, request.Write || request.Fenced), false
 }
 
@@ -239,7 +250,7 @@
 	h.config.Metrics.openTransactions.Update(int64(len(h.transactions)))
 	var unused []*node
 	for key, n := range h.nodes {
-		n.trim(now)
+		n.closeRested(now.Add(-idleLife))
 		n.mu.Lock()
 		quiet := now.Sub(n.lastUsed) > idleNode && n.pinned == 0
 		n.mu.Unlock()
@@ -257,6 +268,6 @@
 		h.finish(t, true)
 	}
 	for _, n := range unused {
-		n.closeIdle()
+		n.closeRested(now)
 	}
 }
--- a/engine/endpoint/node.go
+++ b/engine/endpoint/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,7 +50,6 @@
 	pinned       int
 	pinWaiters   []chan struct{}
 	tooManyUntil time.Time
-	closed       bool
 	lastUsed     time.Time
 	failing      bool
 	// failureLogged is set while the log holds that the endpoint does not answer.
@@ -63,15 +63,14 @@
 }
 
 func newNode(config *Config, target catalog.Endpoint) *node {
-	slots := target.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	if target.Slots <= 0 {
+		target.Slots = defaultSlots
 	}
 	return &node{
 		config: config,
 		target: target,
 		queue: scheduling.New(scheduling.Config{
-			Slots:       slots + slotMargin,
+			Slots:       target.Slots + slotMargin,
 			MaxWait:     maxWait,
 			InitialCost: initialCost,
 		}),
@@ -205,13 +204,12 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for i, waiting := range n.pinWaiters {
-		if waiting == granted {
-			n.pinWaiters = append(n.pinWaiters[:i], n.pinWaiters[i+1:]...)
-			return refusal.NewNotRun(refusal.Overloaded, "transactions hold all connections to the endpoint")
-		}
+	at := slices.Index(n.pinWaiters, granted)
+	if at < 0 {
+		return nil
 	}
-	return nil
+	n.pinWaiters = slices.Delete(n.pinWaiters, at, at+1)
+	return refusal.NewNotRun(refusal.Overloaded, "transactions hold all connections to the endpoint")
 }
 
 func (n *node) unpin() {
@@ -226,11 +224,7 @@
 }
 
 func (n *node) pinLimit() int {
-	slots := n.target.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
-	return max(n.limit-slots-slotMargin, 1)
+	return max(n.limit-n.target.Slots-slotMargin, 1)
 }
 
 // setLimit of the connections that this home may hold.
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -19,8 +19,8 @@
 	// maxPreparedNames on one connection, after which it is cleared before its next
 	// use outside of a transaction.
 	maxPreparedNames = 128
-	// failedPause after a connection could not be opened, in which no other is tried, so that waiting
-	// statements do not each wait for an endpoint that is gone.
+	// failedPause after a connection could not be opened, in which no other is tried, so
+	// that waiting statements do not each wait for an endpoint that is gone.
 	failedPause = 100 * time.Millisecond
 	// idleLife of a connection that no statement uses. An endpoint counts those of a home
 	// that has lost power for 3 s more, so that the next home finds few left.
@@ -209,7 +209,7 @@
 		if candidate.workspace != workspace {
 			continue
 		}
-		n.idle = append(n.idle[:i], n.idle[i+1:]...)
+		n.idle = slices.Delete(n.idle, i, i+1)
 		if !candidate.Broken() {
 			return candidate
 		}
@@ -224,7 +224,7 @@
 func (n *node) put(c *pooled, reusable bool) {
 	c.rested = n.config.Timer.Now()
 	n.mu.Lock()
-	keep := reusable && c.state == statement.Idle && !n.closed && n.open <= n.limit
+	keep := reusable && c.state == statement.Idle && n.open <= n.limit
 	if keep {
 		n.idle = append(n.idle, c)
 	} else {
@@ -236,12 +236,12 @@
 	}
 }
 
-// trim closes the connections that have rested for long.
-func (n *node) trim(now time.Time) {
+// closeRested closes the connections that no statement has used since the given time.
+func (n *node) closeRested(since time.Time) {
 	n.mu.Lock()
 	// The connections are in the order in which they were given back.
 	count := 0
-	for count < len(n.idle) && now.Sub(n.idle[count].rested) > idleLife {
+	for count < len(n.idle) && !n.idle[count].rested.After(since) {
 		count++
 	}
 	old := slices.Clone(n.idle[:count])
@@ -253,18 +253,6 @@
 	}
 }
 
-// closeIdle closes the connections that no statement uses.
-func (n *node) closeIdle() {
-	n.mu.Lock()
-	idle := n.idle
-	n.idle = nil
-	n.open -= len(idle)
-	n.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
-}
-
 // refusedBy translates an endpoint's refusal.
 func refusedBy(e *ReplyError) *refusal.Error {
 	outcome := refusal.Unknown
--- a/engine/endpoint/position.go
+++ b/engine/endpoint/position.go
@@ -6,7 +6,6 @@
 
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/peer"
-	"amaranthdock.dev/engine/statement"
 )
 
 // sampleLife is the age up to which one sample answers the requests of all VMs, so
@@ -41,7 +40,7 @@
 		return lost(request, err)
 	}
 	n.answered()
-	n.put(c, replies[len(replies)-1].State == statement.Idle)
+	n.put(c, true)
 	if problem := replies[0].Problem; problem != nil {
 		return refused(refusedBy(problem))
 	}
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -176,7 +176,7 @@
 	if d.busy {
 		return
 	}
-	primary, reported := p.reported(name)
+	primary, reported := p.config.View.Primary(name)
 	now := p.config.Timer.Boot()
 	d.remember(p.config.View.Members(name), primary, now)
 	switch {
@@ -250,11 +250,6 @@
 	}()
 }
 
-// reported returns the endpoint that is believed to lead, if it is a member still.
-func (p *Part) reported(name string) (catalog.Endpoint, bool) {
-	return p.config.View.Primary(name)
-}
-
 // database returns what is remembered. The caller holds the lock.
 func (p *Part) database(name string) *database {
 	d, ok := p.databases[name]
