--- a/proxy/caller/caller_test.go
+++ b/proxy/caller/caller_test.go
@@ -78,6 +78,17 @@
 		Expect(response.GetConfigurationVersion()).To(BeEquivalentTo(7))
 	})
 
+	It("guards against a key that is checked in an old snapshot after the VM has caught up", func() {
+		f.stale = true
+		f.afterCurrent = func() {
+			f.revoke("k1")
+			f.stale = false
+		}
+		_, err := f.execute(goodKey, newExecute(writing))
+		Expect(err).To(HaveOccurred())
+		Expect(f.executions()).To(BeZero())
+	})
+
 	It("serves a public route as its own subject", func() {
 		f.stale = true
 		request := newExecute(reading)
--- a/proxy/caller/fixture_test.go
+++ b/proxy/caller/fixture_test.go
@@ -51,15 +51,17 @@
 	sealer *session.Sealer
 	url    string
 
-	mu          sync.Mutex
-	admit       error
-	changes     chan struct{}
-	forwarded   []*peerv1.ForwardRequest
-	home        func(ctx context.Context, request *peerv1.ForwardRequest, send peer.SendRows) *peerv1.ForwardResult
-	incarnation uint64
-	logged      strings.Builder
-	revoked     map[string]bool
-	stale       bool
+	mu    sync.Mutex
+	admit error
+	// afterCurrent, if set, runs once after a snapshot was taken.
+	afterCurrent func()
+	changes      chan struct{}
+	forwarded    []*peerv1.ForwardRequest
+	home         func(ctx context.Context, request *peerv1.ForwardRequest, send peer.SendRows) *peerv1.ForwardResult
+	incarnation  uint64
+	logged       strings.Builder
+	revoked      map[string]bool
+	stale        bool
 	// step is how far the time moves while a call is awaited.
 	step time.Duration
 	view routing.DatabaseView
@@ -71,8 +73,14 @@
 
 func (f *fixture) Current() *declaration.Snapshot {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.newSnapshot()
+	snapshot := f.newSnapshot()
+	after := f.afterCurrent
+	f.afterCurrent = nil
+	f.mu.Unlock()
+	if after != nil {
+		after()
+	}
+	return snapshot
 }
 
 func (f *fixture) Subscribe() (<-chan struct{}, func()) { return f.changes, func() {} }
--- a/proxy/caller/request.go
+++ b/proxy/caller/request.go
@@ -35,6 +35,9 @@
 // open authenticates a request and bounds its time. The context ends with the
 // deadline. On an error the request still holds what is known of it.
 func (c *Caller) open(ctx context.Context, id, route string) (*request, context.Context, context.CancelFunc, error) {
+	// The authority is read before the snapshot: read after it, an authority that
+	// a newer version has renewed would vouch for the older snapshot.
+	authorized := c.config.Configuration.Authorized()
 	r := &request{
 		id:       id,
 		snapshot: c.config.Configuration.Current(),
@@ -55,7 +58,7 @@
 	if err != nil {
 		return r, ctx, none, err
 	}
-	if r.route == nil && !c.config.Configuration.Authorized() {
+	if r.route == nil && !authorized {
 		return r, ctx, none, refusal.NewNotRun(refusal.ConfigurationStale, "the proxy cannot know of revoked keys at present")
 	}
 	if len(r.id) > maxRequestIDBytes {
