Hand a leaving primary over as soon as the store answers

Cause: after a failed call, or the start of a leader, nothing was decided for 2.5 s, since reports may be missing then. The report of a primary that is leaving is there, and its successor is one that has received its whole log. Ruled out: the same for lost primaries, because the replica that has received most may be missing among the reports. The new entry of the table failed before.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -66,14 +66,19 @@
 	switch {
 	case s.Ordered && s.SinceOrder < OrderPause:
 		return Keep{}
+	case s.StoreSteady == 0:
+		// An order that cannot be numbered cannot be given.
+		return Keep{}
+	case s.Reported && s.Draining && s.SuspectedFor == 0:
+		// Its successor is one that has its whole log, so that reports which are missing
+		// after an outage do no harm.
+		return HandOver{}
 	case s.StoreSteady < StoreSteady:
-		// Entries of primaries that live may be missing, and an order that cannot be
-		// numbered cannot be given.
+		// Reports of primaries that live, and of replicas that have received more, may
+		// be missing.
 		return Keep{}
 	case s.Reported && s.SuspectedFor > 0:
 		return Verify{}
-	case s.Reported && s.Draining:
-		return HandOver{}
 	case s.Reported:
 		return Keep{}
 	case s.MissingFor >= MissingFor:
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -52,6 +52,20 @@
 			s.MissingFor = time.Minute
 			s.StoreSteady = 2 * time.Second
 		}, takeover.Keep{}),
+		// A leader that had just started left a primary that was leaving in place for
+		// 2.5 s, of the 7 s in which it has to be out of use.
+		Entry("it is leaving, and the leader has just started", func(s *takeover.Situation) {
+			s.Draining = true
+			s.StoreSteady = time.Millisecond
+		}, takeover.HandOver{}),
+		Entry("it is leaving, and the store does not answer", func(s *takeover.Situation) {
+			s.Draining = true
+			s.StoreSteady = 0
+		}, takeover.Keep{}),
+		Entry("a home does not reach it, and the store has just come back", func(s *takeover.Situation) {
+			s.SuspectedFor = time.Second
+			s.StoreSteady = 2 * time.Second
+		}, takeover.Keep{}),
 		Entry("an order is on its way", func(s *takeover.Situation) {
 			s.Reported = false
 			s.MissingFor = time.Minute
