Count the store as steady while only a watch has no answer

Cause: a store that drops its history loses the watches; each counted as an outage, after which no primary was replaced for 2.5 s. Change: a lost watch makes a reader's news old, as before, but leaves the store steady. Polls and renewals, one a second or more, find an outage. Ruled out: longer memory of a steady store, which hides an outage. Test: "is found after an outage of the store" followed the configuration only, whose watches no longer end steadiness; it now reads the reports too, as each VM does. Its checks are unchanged.

--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -115,8 +115,18 @@
 	}
 }
 
-// note records the outcome of a call to the store.
+// note records the outcome of a call to the store, which is steady while all of them
+// are answered.
 func (s *Sync) note(err error) {
+	if !s.answered(err) {
+		s.steady.Store(0)
+	}
+}
+
+// answered records the outcome of a call and tells whether the store answered it. A
+// watch that is not answered does not end the store's steadiness: the store loses
+// watches when it drops its history, and answers other calls meanwhile.
+func (s *Sync) answered(err error) bool {
 	boot := int64(s.config.Timer.Boot())
 	if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, ErrConflict) {
 		s.reached.Store(boot)
@@ -124,13 +134,13 @@
 		if lost := s.lost.Swap(0); lost != 0 {
 			s.config.Log.Info("The store answers again.", "outage", time.Duration(boot-lost).String())
 		}
-		return
+		return true
 	}
 	s.failures.Inc(1)
-	s.steady.Store(0)
 	if s.lost.CompareAndSwap(0, boot) {
 		s.config.Log.Info("The store does not answer.", "error", err.Error())
 	}
+	return false
 }
 
 // FollowConfiguration reads and then watches the configuration until the context
@@ -161,7 +171,7 @@
 			s.following.Store(true)
 		}
 		configuration, at, err := s.config.Declarations.Watch(ctx, revision, s.jittered(watchWait))
-		s.note(err)
+		s.answered(err)
 		switch {
 		case errors.Is(err, ErrCompacted):
 			revision = 0
--- a/engine/store/sync_test.go
+++ b/engine/store/sync_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,7 +46,17 @@
 		f.expectVersion(7)
 	})
 
+	// Primaries were not replaced for 2.5 s after each watch that the store had lost.
+	It("does not end the store's steadiness with a watch that has no answer", func() {
+		go f.sync.FollowReports(f.ctx)
+		Eventually(f.sync.SteadyFor).Should(BeNumerically(">", 50*time.Millisecond))
+		f.fake.set(func() { f.fake.cut = true })
+		Eventually(f.sync.Age).Should(Equal(time.Duration(math.MaxInt64)))
+		Expect(f.sync.SteadyFor()).To(BeNumerically(">", 50*time.Millisecond))
+	})
+
 	It("is found after an outage of the store", func() {
+		go f.sync.FollowReports(f.ctx)
 		f.fake.set(func() {
 			f.fake.down = true
 			f.fake.version = 8
