--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -25,6 +25,10 @@
 	hurriedInterval = 200 * time.Millisecond
 	// callTimeout for the answer to a question.
 	callTimeout = 500 * time.Millisecond
+	// farAge is the age of what a VM knows, from which on it gets a configuration from
+	// another region. A large one takes long on the link between regions, and VMs that
+	// have fresh news get it in their own.
+	farAge = 2 * time.Second
 )
 
 // Contact is what this VM has from the store, itself or through other VMs.
@@ -139,6 +143,7 @@
 	v := p.config.View
 	question := &peer.News{
 		From:      v.Self(),
+		Age:       p.config.Store.Age(),
 		Leaving:   p.leaving.Load(),
 		Endpoints: p.endpoints(),
 		VMs:       p.vms(),
@@ -177,7 +182,8 @@
 		// The age is taken first: what is read after it can only be newer.
 		Age: p.config.Store.Age(),
 	}
-	if c := v.Configuration(); c != nil && c.Version > question.ConfigVersion {
+	near := question.From.Region == v.Self().Region
+	if c := v.Configuration(); c != nil && c.Version > question.ConfigVersion && (near || question.Age >= farAge) {
 		answer.Config = c
 	}
 	if known := p.endpoints(); known.Revision > question.Endpoints.Revision {
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -225,6 +225,21 @@
 		Expect(answer.Config).To(BeNil())
 	})
 
+	It("guards against large configurations on the link between regions", func() {
+		v := start("informed").knowing(9, 40)
+		far := &peer.News{
+			From: catalog.VM{
+				Name:   "far",
+				Region: "elsewhere",
+			},
+			ConfigVersion: 7,
+			Age:           time.Second,
+		}
+		Expect(v.News(far).Config).To(BeNil())
+		far.Age = 2 * time.Second
+		Expect(v.News(far).Config.Version).To(Equal(uint64(9)))
+	})
+
 	It("tells that a VM takes no new work", func() {
 		v := start("leaving").knowing(7, 40)
 		v.Leave()
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -121,6 +121,8 @@
 // News says what the asking VM knows, so that the answer holds only newer data.
 type News struct {
 	From catalog.VM
+	// Age is how long ago the store confirmed what the asking VM knows.
+	Age time.Duration
 	// Leaving tells that the asking VM takes no new work.
 	Leaving       bool
 	ConfigVersion uint64
--- /dev/null
+++ b/timer/progress.go
@@ -0,0 +1,50 @@
+package timer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// ProgressConfig bounds work that may take long while it moves on.
+type ProgressConfig struct {
+	// First is the time until the first progress.
+	First time.Duration
+	// Stall is the time between two steps of progress.
+	Stall time.Duration
+	// Limit of the whole work.
+	Limit time.Duration
+}
+
+// WithProgress returns a context that is canceled, with the cause
+// context.DeadlineExceeded, once the work stalls or its limit has passed, and the
+// function that records progress.
+func WithProgress(ctx context.Context, service Service, config ProgressConfig) (child context.Context, moved func(), cancel context.CancelFunc) {
+	child, end := context.WithCancelCause(ctx)
+	began := service.Now()
+	// expires counts from the beginning.
+	var expires atomic.Int64
+	expires.Store(int64(config.First))
+	subscription := service.After(config.First)
+	go func() {
+		for {
+			select {
+			case <-subscription.C():
+			case <-child.Done():
+				subscription.Stop()
+				return
+			}
+			subscription.Stop()
+			left := time.Duration(expires.Load()) - service.Now().Sub(began)
+			if left <= 0 {
+				end(context.DeadlineExceeded)
+				return
+			}
+			subscription = service.After(left)
+		}
+	}()
+	moved = func() {
+		expires.Store(int64(min(service.Now().Sub(began)+config.Stall, config.Limit)))
+	}
+	return child, moved, func() { end(context.Canceled) }
+}
