Let a few VMs of each region read the configuration at the start too

Cause: a VM that had just started read the whole configuration itself. With 29 VMs in the far region and 3,600 routes none of them had it after 18 s, since the link between regions is shared and each call was given up and begun again. Change: a VM registers first, and reads the configuration at once only as a reader of its region. The others get it from the readers, each 0.1 s until they have one, and read the store themselves after 50 ms for each VM of the region and place behind the readers. News carries the revision up to which the configuration is known, so that a VM whose readers are lost watches from there and reads nothing twice. Only readers ask another region for a configuration.

--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -25,10 +25,12 @@
 	hurriedInterval = 200 * time.Millisecond
 	// callTimeout for the answer to a question.
 	callTimeout = 500 * time.Millisecond
-	// farAge is the age of what a VM knows, from which on it gets a configuration from
-	// another region. A large one takes long on the link between regions, and VMs that
-	// have fresh news get it in their own.
-	farAge = 2 * time.Second
+	// startInterval before this VM has a configuration and serves.
+	startInterval = 100 * time.Millisecond
+	// farLack is the time without news from the store, after which the readers of a
+	// region ask for a configuration from another one. A large configuration takes long
+	// on the link between regions, and the other VMs get it from their readers.
+	farLack = 2 * time.Second
 )
 
 // Contact is what this VM has from the store, itself or through other VMs.
@@ -40,9 +42,15 @@
 	Readers() []catalog.VM
 	// Age is how long ago the store confirmed what this VM knows.
 	Age() time.Duration
+	// Lacking is for how long this VM has had no news from the store.
+	Lacking() time.Duration
+	// Followed is the revision of the store up to which this VM knows the
+	// configuration.
+	Followed() uint64
 	// Relayed records that a reader has told all that the store held at a reading of
-	// the clock that goes on while the VM is suspended.
-	Relayed(at time.Duration)
+	// the clock that goes on while the VM is suspended, and the configuration up to a
+	// revision.
+	Relayed(at time.Duration, revision uint64)
 }
 
 // Config configures a Part.
@@ -92,7 +100,10 @@
 		p.askReader(ctx)
 		p.ask(ctx)
 		wait := interval
-		if !p.config.Store.Reached() || p.config.View.Vacant() {
+		switch {
+		case p.config.View.Configuration() == nil:
+			wait = startInterval
+		case !p.config.Store.Reached() || p.config.View.Vacant():
 			wait = hurriedInterval
 		}
 		if err := timer.Sleep(ctx, p.config.Timer, wait); err != nil {
@@ -134,7 +145,7 @@
 	}
 	asked := p.config.Timer.Boot()
 	if answer, ok := p.exchange(ctx, readers[p.config.Pick(len(readers))]); ok && answer.Age < asked {
-		p.config.Store.Relayed(asked - answer.Age)
+		p.config.Store.Relayed(asked-answer.Age, answer.ConfigRevision)
 	}
 }
 
@@ -143,7 +154,7 @@
 	v := p.config.View
 	question := &peer.News{
 		From:      v.Self(),
-		Age:       p.config.Store.Age(),
+		FarConfig: p.config.Store.Lacking() >= farLack && len(p.config.Store.Readers()) == 0,
 		Leaving:   p.leaving.Load(),
 		Endpoints: p.endpoints(),
 		VMs:       p.vms(),
@@ -179,11 +190,13 @@
 	answer := peer.NewsReply{
 		From:    v.Self(),
 		Leaving: p.leaving.Load(),
-		// The age is taken first: what is read after it can only be newer.
-		Age: p.config.Store.Age(),
+		// The age and the revision are taken first: what is read after them can only be
+		// newer.
+		Age:            p.config.Store.Age(),
+		ConfigRevision: p.config.Store.Followed(),
 	}
 	near := question.From.Region == v.Self().Region
-	if c := v.Configuration(); c != nil && c.Version > question.ConfigVersion && (near || question.Age >= farAge) {
+	if c := v.Configuration(); c != nil && c.Version > question.ConfigVersion && (near || question.FarConfig) {
 		answer.Config = c
 	}
 	if known := p.endpoints(); known.Revision > question.Endpoints.Revision {
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -121,8 +121,8 @@
 // News says what the asking VM knows, so that the answer holds only newer data.
 type News struct {
 	From catalog.VM
-	// Age is how long ago the store confirmed what the asking VM knows.
-	Age time.Duration
+	// FarConfig asks for a newer configuration also from another region.
+	FarConfig bool
 	// Leaving tells that the asking VM takes no new work.
 	Leaving       bool
 	ConfigVersion uint64
@@ -142,7 +142,9 @@
 	From    catalog.VM
 	Leaving bool
 	// Age is how long ago the store confirmed what the answering VM knows.
-	Age               time.Duration
+	Age time.Duration
+	// ConfigRevision is the revision of the store up to which it knows the configuration.
+	ConfigRevision    uint64
 	Config            *catalog.Configuration
 	Endpoints         *catalog.Endpoints
 	EndpointsRevision uint64
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -47,6 +47,7 @@
 	draining       bool
 	version        uint64
 	watches        int
+	reads          int
 	staleness      []bool
 }
 
@@ -174,9 +175,13 @@
 func (d declarations) Read(context.Context) (*catalog.Configuration, uint64, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.reads++
 	if d.down {
 		return nil, 0, errDown
 	}
+	if d.version == 0 {
+		return nil, 0, nil
+	}
 	return &catalog.Configuration{Version: d.version}, d.version, nil
 }
 
--- a/engine/store/readers.go
+++ b/engine/store/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"amaranthdock.dev/decision/confsync"
@@ -21,25 +22,39 @@
 	// registration, each of which shows that the reader reaches the store, and leaves
 	// half of the 4 s in which a configuration has to be in force.
 	relayLimit = 2 * time.Second
+	// startStep for each VM of the region, after which the next VMs of the ranking do not
+	// wait for the readers of a fleet that has just started. A large configuration that
+	// all VMs of a region read at once reaches none of them in time, since the link
+	// between regions is shared.
+	startStep = 50 * time.Millisecond
+	// startLimit bounds that wait.
+	startLimit = 6 * time.Second
 	// restInterval between two looks whether this VM has to read the store.
 	restInterval = 250 * time.Millisecond
 	// unknownAge stands for knowledge that the store has never confirmed.
 	unknownAge = time.Duration(math.MaxInt64)
 )
 
+// ranking returns the live VMs of this VM's region, the readers first, and how many of
+// them are readers.
+func (s *Sync) ranking() ([]routing.VM, int) {
+	v := s.config.View
+	region := sameRegion(v.Live(), v.Self().Region)
+	count := max((len(region)+vmsPerReader-1)/vmsPerReader, readersPerRegion)
+	return confsync.Watchers(LeaderKey, region, len(region)), count
+}
+
 // Readers returns the other VMs from which this VM learns what the store holds; none
 // if this VM is a reader of its region.
 func (s *Sync) Readers() []catalog.VM {
 	v := s.config.View
-	self, vms := v.Self(), v.VMs()
-	region := sameRegion(v.Live(), self.Region)
-	count := max((len(region)+vmsPerReader-1)/vmsPerReader, readersPerRegion)
+	ranked, count := s.ranking()
 	var readers []catalog.VM
-	for _, r := range confsync.Watchers(LeaderKey, region, count) {
-		if r.Name == self.Name {
+	for _, r := range ranked[:min(count, len(ranked))] {
+		if r.Name == v.Self().Name {
 			return nil
 		}
-		readers = append(readers, vms.ByName[r.Name])
+		readers = append(readers, v.VMs().ByName[r.Name])
 	}
 	return readers
 }
@@ -62,15 +77,36 @@
 	if _, registered := vms.ByName[name]; !registered || vms.Leader == name {
 		return true
 	}
-	return s.since(s.relayed.Load()) > relayLimit || len(s.Readers()) == 0
+	ranked, count := s.ranking()
+	place := slices.IndexFunc(ranked, func(vm routing.VM) bool { return vm.Name == name })
+	switch {
+	case place < count:
+		return true
+	case s.relayed.Load() == 0:
+		return s.since(s.began) > min(time.Duration(place/count*len(ranked))*startStep, startLimit)
+	default:
+		return s.since(s.relayed.Load()) > relayLimit
+	}
 }
 
 // Relayed records that a reader has told all that the store held at a reading of the
-// clock that goes on while the VM is suspended.
-func (s *Sync) Relayed(at time.Duration) {
+// clock that goes on while the VM is suspended, and the configuration up to a revision
+// of the store.
+func (s *Sync) Relayed(at time.Duration, revision uint64) {
 	raise(&s.relayed, int64(at))
+	raise(&s.followed, int64(revision))
+	if int64(at) >= s.began && s.config.View.Configuration() != nil {
+		s.read.Store(true)
+	}
 }
 
+// Followed returns the revision of the store up to which this VM knows the
+// configuration; 0 for none.
+func (s *Sync) Followed() uint64 { return uint64(s.followed.Load()) }
+
+// Lacking returns for how long this VM has had no news from the store.
+func (s *Sync) Lacking() time.Duration { return min(s.Age(), s.since(s.began)) }
+
 // Age returns how long ago the store confirmed what this VM knows, to this VM or to
 // one that passed it on.
 func (s *Sync) Age() time.Duration {
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,12 +44,18 @@
 // Register keeps this VM registered until the context ends, and then removes the
 // registration.
 func (s *Sync) Register(ctx context.Context) {
-	var lease uint64
+	var (
+		lease uint64
+		once  sync.Once
+	)
 	backoff := s.newBackoff()
 	for ctx.Err() == nil {
 		var err error
 		if lease == 0 {
 			lease, err = s.register(ctx)
+			if err == nil {
+				once.Do(func() { close(s.registered) })
+			}
 		} else {
 			err = s.config.Store.Keep(ctx, lease)
 		}
@@ -106,8 +113,15 @@
 }
 
 // FollowFleet reads the registrations in intervals until the context ends, while this
-// VM reads the store itself.
+// VM reads the store itself. The first read waits for this VM's own registration.
 func (s *Sync) FollowFleet(ctx context.Context) {
+	first := s.config.Timer.After(placeWait / 2)
+	select {
+	case <-s.registered:
+	case <-first.C():
+	case <-ctx.Done():
+	}
+	first.Stop()
 	backoff := s.newBackoff()
 	stale := false
 	for ctx.Err() == nil {
@@ -115,10 +129,10 @@
 			s.pause(ctx, restInterval)
 			continue
 		}
-		known := s.newest.Load()
+		boot := s.config.Timer.Boot()
 		items, revision, err := s.config.Store.Range(ctx, fleetPrefix, stale)
 		s.note(err)
-		if err == nil && stale && behind(revision, known) {
+		if err == nil && stale && s.shown.behind(boot, revision) {
 			items, revision, err = s.config.Store.Range(ctx, fleetPrefix, false)
 			s.note(err)
 		}
@@ -127,7 +141,7 @@
 			continue
 		}
 		backoff.reset()
-		s.shown(revision)
+		s.shown.add(s.config.Timer.Boot(), revision)
 		vms := s.decodeFleet(items, revision)
 		s.config.View.AcceptVMs(vms, "store")
 		// Before this VM sees itself, it waits for its own registration.
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/view"
 	"amaranthdock.dev/timer"
 )
@@ -21,6 +22,10 @@
 	// watchPause between two watches, so that configurations in quick succession cost
 	// one call for several.
 	watchPause = 200 * time.Millisecond
+	// catchUpWait of the first watch, the shortest one.
+	catchUpWait = time.Millisecond
+	// placeWait for this VM's place in the fleet, several times the trips to register.
+	placeWait = time.Second
 	// pollInterval of the stale reads of reports and registrations.
 	pollInterval = time.Second
 	// farPollInterval where the store is in another region, because the link to it is
@@ -68,9 +73,14 @@
 	// following is set while this VM reads the store itself and has caught up with its
 	// configuration.
 	following atomic.Bool
-	// newest is the highest revision of the store that an answer which was not stale has
-	// shown.
-	newest atomic.Int64
+	// shown holds the revisions that the store has reached.
+	shown revisions
+	// followed is the revision of the store up to which the configuration is known.
+	followed atomic.Int64
+	// began is the reading of the clock at the start of the process.
+	began int64
+	// registered is closed once this process has registered.
+	registered chan struct{}
 	// relayed is the reading of the clock at which the store held what a reader told.
 	relayed atomic.Int64
 	// trip is the mean time of a call, in nanoseconds.
@@ -82,9 +92,11 @@
 // New returns a Sync that does nothing yet.
 func New(config Config) *Sync {
 	return &Sync{
-		config:   config,
-		failures: metrics.GetOrRegisterCounter("store.failures", config.Registry),
-		wake:     make(chan struct{}, 1),
+		config:     config,
+		began:      int64(config.Timer.Boot()),
+		registered: make(chan struct{}),
+		failures:   metrics.GetOrRegisterCounter("store.failures", config.Registry),
+		wake:       make(chan struct{}, 1),
 	}
 }
 
@@ -103,8 +115,8 @@
 	return s.config.Timer.Boot() - time.Duration(steady)
 }
 
-// ConfigurationRead tells whether this process has read the configuration from the
-// store, past what other VMs knew.
+// ConfigurationRead tells whether this process knows the configuration that the store
+// held after its start.
 func (s *Sync) ConfigurationRead() bool { return s.read.Load() }
 
 // Poll asks for a read of the reports without waiting for the next interval.
@@ -146,51 +158,101 @@
 // FollowConfiguration reads and then watches the configuration until the context
 // ends, while this VM reads the store itself.
 func (s *Sync) FollowConfiguration(ctx context.Context) {
-	var revision uint64
+	s.awaitPlace(ctx)
 	backoff := s.newBackoff()
 	for ctx.Err() == nil {
 		if !s.Reads() {
 			s.following.Store(false)
-			revision = 0
 			s.pause(ctx, restInterval)
 			continue
 		}
-		if revision == 0 {
-			configuration, at, err := s.config.Declarations.Read(ctx)
-			s.note(err)
-			if err != nil {
-				backoff.sleep(ctx)
-				continue
-			}
-			if configuration != nil {
-				s.config.View.AcceptConfiguration(configuration, "store")
-				s.read.Store(true)
-			}
-			revision = at
-			s.shown(at)
-			s.following.Store(true)
+		follow := s.watchConfiguration
+		if s.followed.Load() == 0 {
+			follow = s.readConfiguration
 		}
-		configuration, at, err := s.config.Declarations.Watch(ctx, revision, s.jittered(watchWait))
-		s.answered(err)
+		changed, err := follow(ctx)
 		switch {
 		case errors.Is(err, ErrCompacted):
-			revision = 0
-			continue
+			s.followed.Store(0)
 		case err != nil:
 			backoff.sleep(ctx)
-			continue
+		default:
+			backoff.reset()
+			s.following.Store(true)
 		}
-		backoff.reset()
-		revision = max(revision, at)
-		s.shown(at)
-		if configuration != nil {
-			s.config.View.AcceptConfiguration(configuration, "store")
-			s.read.Store(true)
+		if changed {
 			s.pause(ctx, watchPause)
 		}
 	}
 }
 
+// awaitPlace waits until this VM sees itself in the fleet, and so knows whether it is
+// a reader. It gives up when the store does not answer.
+func (s *Sync) awaitPlace(ctx context.Context) {
+	limit := s.config.Timer.After(placeWait)
+	defer limit.Stop()
+	for s.lost.Load() == 0 {
+		changed := s.config.View.Changed()
+		if _, ok := s.config.View.VMs().ByName[s.config.View.Self().Name]; ok {
+			return
+		}
+		look := s.config.Timer.After(restInterval)
+		select {
+		case <-changed:
+		case <-look.C():
+		case <-limit.C():
+			return
+		case <-ctx.Done():
+			return
+		}
+		look.Stop()
+	}
+}
+
+// readConfiguration reads the configuration, or waits for the first one.
+func (s *Sync) readConfiguration(ctx context.Context) (changed bool, err error) {
+	configuration, at, err := s.config.Declarations.Read(ctx)
+	s.note(err)
+	switch {
+	case err != nil:
+		return false, err
+	case configuration == nil:
+		return s.watchFrom(ctx, at, s.jittered(watchWait))
+	}
+	s.accept(configuration, at)
+	return false, nil
+}
+
+// watchConfiguration waits for a newer configuration. The first watch is short, so
+// that a VM which begins to read the store soon knows that it has caught up.
+func (s *Sync) watchConfiguration(ctx context.Context) (changed bool, err error) {
+	wait := catchUpWait
+	if s.following.Load() {
+		wait = s.jittered(watchWait)
+	}
+	return s.watchFrom(ctx, uint64(s.followed.Load()), wait)
+}
+
+func (s *Sync) watchFrom(ctx context.Context, revision uint64, wait time.Duration) (changed bool, err error) {
+	configuration, at, err := s.config.Declarations.Watch(ctx, revision, wait)
+	s.answered(err)
+	if err != nil {
+		return false, err
+	}
+	s.accept(configuration, at)
+	return configuration != nil, nil
+}
+
+// accept takes what the store held at a revision; nil for no change.
+func (s *Sync) accept(configuration *catalog.Configuration, at uint64) {
+	if configuration != nil {
+		s.config.View.AcceptConfiguration(configuration, "store")
+		s.read.Store(true)
+	}
+	raise(&s.followed, int64(at))
+	s.shown.add(s.config.Timer.Boot(), at)
+}
+
 // FollowReports reads the endpoints' reports in intervals until the context ends,
 // while this VM reads the store itself.
 func (s *Sync) FollowReports(ctx context.Context) {
@@ -202,11 +264,11 @@
 			s.pause(ctx, restInterval)
 			continue
 		}
-		known, asked := s.newest.Load(), s.config.Timer.Now()
+		boot, asked := s.config.Timer.Boot(), s.config.Timer.Now()
 		endpoints, err := s.config.Reports.Read(ctx, stale)
 		s.note(err)
 		s.took(s.config.Timer.Now().Sub(asked))
-		if err == nil && stale && behind(endpoints.Revision, known) {
+		if err == nil && stale && s.shown.behind(boot, endpoints.Revision) {
 			endpoints, err = s.config.Reports.Read(ctx, false)
 			s.note(err)
 		}
@@ -216,7 +278,7 @@
 		}
 		backoff.reset()
 		s.config.View.AcceptEndpoints(endpoints, "store")
-		s.shown(endpoints.Revision)
+		s.shown.add(s.config.Timer.Boot(), endpoints.Revision)
 		stale = true
 		wait := s.interval()
 		if s.config.View.Vacant() {
@@ -235,14 +297,6 @@
 	}
 }
 
-// shown records a revision that the store has reached.
-func (s *Sync) shown(revision uint64) { raise(&s.newest, int64(revision)) }
-
-// behind tells whether a stale read shows less than the store has shown before it.
-// Such a read may be several seconds old, which is too long for an endpoint that is
-// leaving.
-func behind(revision uint64, known int64) bool { return int64(revision) < known }
-
 // raise stores a value that is higher than the one before.
 func raise(value *atomic.Int64, to int64) {
 	for {
