--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -75,6 +75,8 @@
 	following atomic.Bool
 	// shown holds the revisions that the store has reached.
 	shown revisions
+	// reads is set while this VM reads the store itself.
+	reads atomic.Bool
 	// followed is the revision of the store up to which the configuration is known.
 	followed atomic.Int64
 	// began is the reading of the clock at the start of the process.
