Let a VM that can decide take the lead, and look at the primaries at once

The machine that replaced the leader's took the lead at 8.8 s, and could not replace a primary before the store had answered it for 2.5 s. Homes tell a leader of lost primaries, but learn of a new one only after a second. The promotion took effect at 10.93 s. Change: a VM whose contact with the store is younger than 2.5 s lets others go first; a new leader asks each primary once. Ruled out: shorter leases; a broadcast of the new leader, which reaches homes that have no suspicion at that moment. Both tests failed without the change.

--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -219,6 +219,24 @@
 	})
 })
 
+var _ = Describe("a vacant lead", func() {
+	// A primary that was lost together with the leader was replaced 1.9 s after another
+	// VM led, since its homes did not know whom to tell (Saltmyri inc-8245).
+	It("guards against a new leader that waits for the word of homes", func() {
+		f := newFixtureWith(func(f *fixture) { f.database.lost["a"] = true })
+		Eventually(f.database.given).WithTimeout(2 * time.Second).Should(Equal([]string{"c"}))
+	})
+
+	// A machine that replaced the lost leader's took the lead after 2.5 s and could not
+	// decide about a lost primary for another 1.3 s (Saltmyri inc-8245).
+	It("guards against a leader that has just started where others could lead", func() {
+		began := time.Now()
+		f := newFixtureWith(func(f *fixture) { f.store.steady = 500 * time.Millisecond })
+		Expect(f.part.Leads()).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically(">=", 2*time.Second))
+	})
+})
+
 var _ = Describe("a primary", func() {
 	var f *fixture
 
--- a/engine/failover/leader.go
+++ b/engine/failover/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/store"
 )
 
@@ -57,7 +58,7 @@
 			vacantSince = 0
 		case vacantSince == 0:
 			vacantSince = p.config.Timer.Boot()
-		case p.config.Timer.Boot()-vacantSince >= time.Duration(p.rank())*rankDelay:
+		case p.config.Timer.Boot()-vacantSince >= p.patience():
 			p.take(ctx, 0)
 			vacantSince = 0
 		}
@@ -71,6 +72,13 @@
 	p.resign()
 }
 
+// patience before this VM takes a vacant lead. One that has just started lets others
+// go first, since it cannot decide about lost primaries yet.
+func (p *Part) patience() time.Duration {
+	unsteady := max(takeover.StoreSteady-p.config.Contact.SteadyFor(), 0)
+	return time.Duration(p.rank())*rankDelay + unsteady
+}
+
 // rank of this VM among those that may lead.
 func (p *Part) rank() int {
 	var candidates []routing.VM
@@ -127,6 +135,23 @@
 		until:    asked + lasts - leaseMargin,
 	})
 	p.config.Log.Info("This VM orders promotions from now on.", "lease", lease)
+	go p.survey(ctx)
+}
+
+// survey looks at all primaries once. Homes that lost one while nobody led could not
+// tell it, and learn of the new leader only after a while.
+func (p *Part) survey(ctx context.Context) {
+	configuration := p.config.View.Configuration()
+	if configuration == nil {
+		return
+	}
+	for name := range configuration.Databases {
+		go func() {
+			if primary, ok := p.config.View.Primary(name); ok && !p.reaches(ctx, primary) {
+				p.Suspect(primary)
+			}
+		}()
+	}
 }
 
 func (p *Part) renew(ctx context.Context) {
