Let the priorities of routes order the statements of a workspace

Change: within a workspace, and only there, a queue serves the more urgent statements first, and what a statement is expected to wait counts those that go before it. Items that can no longer finish are dropped also behind others. Ruled out: priorities between workspaces, which would let one take another's share. The new specs of decision/scheduling cannot pass before, as items had no priority.

--- a/decision/scheduling/flow.go
+++ b/decision/scheduling/flow.go
@@ -54,8 +54,8 @@
 func (f *flow) oldest() uint64 {
 	oldest := uint64(math.MaxUint64)
 	for _, list := range [][]queued{f.steps, f.statements} {
-		if len(list) > 0 {
-			oldest = min(oldest, list[0].sequence)
+		for _, w := range list {
+			oldest = min(oldest, w.sequence)
 		}
 	}
 	return oldest
@@ -68,14 +68,30 @@
 	return item
 }
 
+// push puts an item behind those of its list that are as urgent.
 func (f *flow) push(item Item, sequence uint64) {
 	list := f.list(item.Transaction)
-	*list = append(*list, queued{
+	*list = slices.Insert(*list, f.behind(item), queued{
 		item:     item,
 		sequence: sequence,
 	})
 }
 
+// behind returns how many items of its list go before a new item.
+func (f *flow) behind(item Item) int {
+	list := *f.list(item.Transaction)
+	at := len(list)
+	for at > 0 && list[at-1].item.Priority > item.Priority {
+		at--
+	}
+	return at
+}
+
+// ahead returns how many waiting items of the flow go before a new statement.
+func (f *flow) ahead(item Item) int {
+	return len(f.steps) + f.behind(item)
+}
+
 func (f *flow) remove(item Item) {
 	list := f.list(item.Transaction)
 	*list = slices.DeleteFunc(*list, func(w queued) bool { return w.item.ID == item.ID })
--- /dev/null
+++ b/decision/scheduling/priority_test.go
@@ -0,0 +1,94 @@
+package scheduling_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/scheduling"
+)
+
+var _ = Describe("priority", func() {
+	const (
+		urgent = 1
+		later  = 2
+	)
+	var f *fixture
+
+	BeforeEach(func() {
+		f = newFixture(scheduling.Config{
+			Slots:   1,
+			MaxWait: 20 * service,
+		})
+	})
+
+	arrive := func(subject string, priority int, timeout time.Duration) scheduling.Decision {
+		f.next++
+		return f.Arrive(f.now, scheduling.Item{
+			ID:       f.next,
+			Subject:  subject,
+			Priority: priority,
+			Arrived:  f.now,
+			Deadline: f.now.Add(timeout),
+		})
+	}
+
+	// expectOrder guards against urgent statements that wait behind others.
+	expectOrder := func(ids ...uint64) {
+		GinkgoHelper()
+		for _, id := range ids {
+			run, ok := f.Next(f.now).(scheduling.Run)
+			Expect(ok).To(BeTrue())
+			Expect(run.Item.ID).To(Equal(id))
+			f.now = f.now.Add(service)
+			f.Finished(f.now, id)
+		}
+	}
+
+	It("orders the statements of one workspace, and those of equal priority by arrival", func() {
+		for _, priority := range []int{later, urgent, later, urgent} {
+			arrive("w", priority, time.Hour)
+		}
+		expectOrder(2, 4, 1, 3)
+	})
+
+	It("takes nothing from another workspace", func() {
+		arrive("a", later, time.Hour)
+		arrive("a", later, time.Hour)
+		arrive("b", urgent, time.Hour)
+		arrive("b", urgent, time.Hour)
+		expectOrder(1, 3, 2, 4)
+	})
+
+	// The replicas of a database lag, so that reads fill the queue of its primary.
+	It("guards against refusing urgent statements for a queue of less urgent ones", func() {
+		for range 21 {
+			Expect(arrive("w", later, time.Hour)).To(Equal(scheduling.Enqueued{}))
+		}
+		Expect(arrive("w", later, time.Hour)).To(BeAssignableToTypeOf(scheduling.Refused{}))
+		Expect(arrive("w", urgent, time.Hour)).To(Equal(scheduling.Enqueued{}))
+		refused, ok := arrive("w", later, 10*service).(scheduling.Refused)
+		Expect(ok).To(BeTrue())
+		Expect(refused.Reason).To(Equal(refusal.DeadlineTooShort))
+	})
+
+	It("drops a less urgent statement as soon as it cannot finish", func() {
+		arrive("w", later, 3*service)
+		arrive("w", urgent, time.Hour)
+		arrive("w", urgent, time.Hour)
+		expectOrder(2, 3)
+		expired, ok := f.Next(f.now.Add(service)).(scheduling.Expired)
+		Expect(ok).To(BeTrue())
+		Expect(expired.Item.ID).To(Equal(uint64(1)))
+	})
+
+	It("drops a less urgent statement that waits behind others", func() {
+		arrive("w", urgent, time.Hour)
+		arrive("w", later, 2*service)
+		expired, ok := f.Next(f.now.Add(2 * service)).(scheduling.Expired)
+		Expect(ok).To(BeTrue())
+		Expect(expired.Item.ID).To(Equal(uint64(2)))
+	})
+})
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -3,6 +3,7 @@
 package scheduling
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,8 @@
 	deviations = 4
 	// maxFlows is the number of subjects above which idle ones are forgotten.
 	maxFlows = 1024
+	// leastUrgent goes behind all items of its subject.
+	leastUrgent = math.MaxInt
 	// minCost keeps estimates finite when service times round to nothing.
 	minCost = 10 * time.Microsecond
 	// minRetryAfter is the shortest retry delay that a refusal names.
@@ -65,6 +68,8 @@
 	Arrived, Deadline time.Time
 	// Transaction marks a step of an open transaction.
 	Transaction bool
+	// Priority orders the items of one subject; 0 is the most urgent.
+	Priority int
 }
 
 // Queue orders the statements of one endpoint.
@@ -132,7 +137,7 @@
 	return Enqueued{}
 }
 
-// ExpectedWait estimates how long a new statement of the subject would wait.
+// ExpectedWait estimates how long a new statement of the subject would wait at most.
 func (q *Queue) ExpectedWait(now time.Time, subject string) time.Duration {
 	f, ok := q.bySubject[subject]
 	if !ok {
@@ -142,7 +147,7 @@
 			start:   q.virtual,
 		}
 	}
-	return q.expectedWait(now, f, false)
+	return q.expectedWait(now, f, Item{Priority: leastUrgent})
 }
 
 // Finished frees the slot of an item and measures its service time. An id that
@@ -222,7 +227,8 @@
 	return q.waiting()
 }
 
-// expired removes the first head of a list that can no longer finish in time.
+// expired removes an item that can no longer finish in time. Less urgent items may
+// expire behind others.
 func (q *Queue) expired(now time.Time) (Item, bool) {
 	for _, f := range q.flows {
 		needed := q.needed(now, f)
@@ -230,11 +236,12 @@
 			needed = 0
 		}
 		for _, list := range []*[]queued{&f.steps, &f.statements} {
-			if len(*list) == 0 || now.Add(needed).Before((*list)[0].item.Deadline) {
+			at := slices.IndexFunc(*list, func(w queued) bool { return !now.Add(needed).Before(w.item.Deadline) })
+			if at < 0 {
 				continue
 			}
-			item := (*list)[0].item
-			*list = slices.Delete(*list, 0, 1)
+			item := (*list)[at].item
+			*list = slices.Delete(*list, at, at+1)
 			delete(q.items, item.ID)
 			return item, true
 		}
@@ -272,7 +279,7 @@
 }
 
 func (q *Queue) refuse(now time.Time, f *flow, item Item) (Refused, bool) {
-	wait := q.expectedWait(now, f, item.Transaction)
+	wait := q.expectedWait(now, f, item)
 	if !now.Add(wait + q.needed(now, f)).Before(item.Deadline) {
 		return Refused{Reason: refusal.DeadlineTooShort}, true
 	}
--- a/decision/scheduling/wait.go
+++ b/decision/scheduling/wait.go
@@ -7,7 +7,7 @@
 
 // expectedWait estimates how long a new item of the flow waits for a slot, from
 // the statements that the policy serves before it.
-func (q *Queue) expectedWait(now time.Time, f *flow, transaction bool) time.Duration {
+func (q *Queue) expectedWait(now time.Time, f *flow, item Item) time.Duration {
 	if len(q.running) < q.config.Slots && q.waiting() == 0 {
 		return 0
 	}
@@ -20,7 +20,7 @@
 			seconds += q.cost(other) * float64(min(other.waiting(), f.waiting()+1))
 		}
 	default:
-		seconds += q.fairWork(f, transaction)
+		seconds += q.fairWork(f, item)
 	}
 	return time.Duration(seconds / float64(q.config.Slots) * float64(time.Second))
 }
@@ -35,11 +35,11 @@
 }
 
 // fairWork is the service time of the items that start before a new item of the
-// flow under WeightedFair. The backlog of another subject counts only as far as
+// flow under WeightedFair, of its own subject those that are as urgent. The backlog of another subject counts only as far as
 // its tags are smaller, so a flood delays mostly itself.
-func (q *Queue) fairWork(f *flow, transaction bool) float64 {
+func (q *Queue) fairWork(f *flow, item Item) float64 {
 	seconds := 0.0
-	if transaction {
+	if item.Transaction {
 		for _, other := range q.flows {
 			seconds += q.cost(other) * float64(len(other.steps))
 		}
@@ -47,12 +47,13 @@
 	}
 	weights := q.weights()
 	tag := max(f.start, q.virtual)
+	ahead := float64(f.ahead(item))
 	if f.waiting() > 0 {
-		tag = f.start + float64(f.waiting())*q.cost(f)/weights.of(f)
+		tag = f.start + ahead*q.cost(f)/weights.of(f)
 	}
 	for _, other := range q.flows {
 		if other == f {
-			seconds += q.cost(f) * float64(f.waiting())
+			seconds += q.cost(f) * ahead
 			continue
 		}
 		if f.over != other.over {
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -176,6 +176,7 @@
 		TransactionIdle: a.idle,
 		Workspace:       a.workspace,
 		MaxConnections:  a.database.MaxConnections,
+		Priority:        a.route.Priority,
 		ID:              request.ID,
 		Text:            w.text,
 		Write:           w.write,
--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -42,6 +42,8 @@
 	Public   bool
 	// Timeout of one statement.
 	Timeout time.Duration
+	// Priority of its statements in a queue; 0 is the most urgent.
+	Priority int
 	// MaxStaleness is the largest age of what a read returns; 0 where it must be new.
 	MaxStaleness time.Duration
 }
--- a/engine/endpoint/node.go
+++ b/engine/endpoint/node.go
@@ -118,6 +118,7 @@
 		Arrived:     now,
 		Deadline:    deadline,
 		Transaction: request.Step == peer.Next || request.Step == peer.CommitStep,
+		Priority:    request.Priority,
 	})
 	if refused, ok := decided.(scheduling.Refused); ok {
 		return 0, nil, &refusal.Error{
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -84,6 +84,9 @@
 	Fenced bool
 	// Timeout is what is left for the statement.
 	Timeout time.Duration
+	// Priority in the queue of the endpoint, among the statements of the workspace; 0 is
+	// the most urgent.
+	Priority int
 }
 
 // Ran is the answer to Run.
