Rank the VMs of a region with the ranking itself

Cause: found on reading the change again. The readers' ranking called confsync.Watchers with a count as large as the region, which ranks with routing.Rank and then leaves nobody out. Change: it calls routing.Rank. The order is the same, and so is the behaviour. Ruled out: one function for timer.WithTimeout and WithProgress, since the first is on the path of each statement and simpler; one fake store for two test packages, which would have to leave the test files.

--- a/engine/store/readers.go
+++ b/engine/store/readers.go
@@ -21,7 +21,7 @@
 func (s *Sync) ranking() []routing.VM {
 	v := s.config.View
 	region := slices.DeleteFunc(v.Live(), func(vm routing.VM) bool { return vm.Region != v.Self().Region })
-	return confsync.Watchers(LeaderKey, region, len(region))
+	return routing.Rank(LeaderKey, region)
 }
 
 // Readers returns the other VMs from which this VM learns what the store holds; none
