Let a member follow its term's primary that another claimant promoted

One member accepted the term for a claimant that lost, and rejected the primary that the winner promoted in that term, so that it received no entries until the next term.

Change: FollowPrimary takes over the claimant of the primary of the same term. A claimant promotes only with two of three members, and each member accepts a term for one claimant, so the losing claimant cannot promote any more; the member itself rejects its promotion.

Shown by a test that failed first, without a race. The search over three members now also covers two claimants of each of two terms; it is complete and finds no lost write.

--- a/standin/memberlog/log.go
+++ b/standin/memberlog/log.go
@@ -147,11 +147,22 @@
 }
 
 // FollowPrimary accepts a term on contact from the term's primary, so that a member
-// that missed the fence still rejects other claimants of the term. It returns false
-// for a lower term and on the primary itself.
+// that missed the fence still rejects other claimants of the term. A member that had
+// accepted the term for another claimant follows, too: that claimant cannot promote a
+// primary in this term, because most members accepted the term for the one that did. It
+// returns false for a lower term and on the primary itself.
 func (l *Log) FollowPrimary(term uint64, claimant string) ([]Change, bool) {
-	changes, ok := l.Fence(term, claimant)
-	return changes, ok && !l.IsPrimary()
+	switch {
+	case term == 0 || term < l.fencedTerm || term == l.fencedTerm && l.IsPrimary():
+		return nil, false
+	case term == l.fencedTerm && claimant == l.claimant:
+		return nil, true
+	}
+	change := l.apply(Fenced{
+		Term:     term,
+		Claimant: claimant,
+	})
+	return []Change{change}, true
 }
 
 // Last returns the position of the last entry.
--- a/standin/memberlog/log_test.go
+++ b/standin/memberlog/log_test.go
@@ -79,6 +79,21 @@
 		Entry("the claimant of the term", uint64(2), "first", true),
 	)
 
+	It("follows the primary that another claimant promoted in the accepted term (guards against a replica without entries until the next term)", func() {
+		primary, replica := memberlog.New(), memberlog.New()
+		primary.Fence(5, "winner")
+		_, promoted := primary.Promote(5, "winner")
+		Expect(promoted).To(BeTrue())
+		_, fenced := replica.Fence(5, "loser")
+		Expect(fenced).To(BeTrue())
+		Expect(replicate(primary, replica, 1).Accepted).To(BeTrue())
+		Expect(replica.Last()).To(Equal(primary.Last()))
+		_, promoted = replica.Promote(5, "loser")
+		Expect(promoted).To(BeFalse())
+		_, followed := primary.FollowPrimary(5, "other")
+		Expect(followed).To(BeFalse(), "a primary follows no other of its term")
+	})
+
 	It("rejects a promotion in a term that has entries (guards against a promotion that is repeated after a restart)", func() {
 		log := newPrimary(1).Restart()
 		Expect(log.IsPrimary()).To(BeFalse())
--- a/standin/memberlog/search_test.go
+++ b/standin/memberlog/search_test.go
@@ -37,7 +37,8 @@
 // that are never delivered.
 type clusterState struct {
 	logs [3]*memberlog.Log
-	// claims holds one claim for each term, starting at term 1.
+	// claims holds the claims of the terms, starting at term 1, for one claimant after the
+	// other.
 	claims []pendingClaim
 	// observed are the statuses that the home VM last received; they may be stale.
 	observed [3]promotion.Status
@@ -75,14 +76,16 @@
 	// interruptedClaims lets each claimant pause between any two of its calls. If it
 	// is false, a claim is one transition, with or without the promotion.
 	interruptedClaims bool
-	visited           map[string]struct{}
-	queue             []*clusterState
+	// claimants is the number of claimants of each term. Several need interruptedClaims.
+	claimants int
+	visited   map[string]struct{}
+	queue     []*clusterState
 	// violation is the last step to the first state that lost a write.
 	violation *step
 }
 
 func (s *search) run() {
-	initial := &clusterState{claims: make([]pendingClaim, s.terms)}
+	initial := &clusterState{claims: make([]pendingClaim, s.terms*s.claimants)}
 	for i := range initial.logs {
 		initial.logs[i] = memberlog.New()
 		initial.observed[i] = initial.status(i)
@@ -182,50 +185,51 @@
 	}
 	for _, targets := range [][]int{{0}, {1}, {2}, {0, 1}, {0, 2}, {1, 2}, {0, 1, 2}} {
 		s.addTransition(state, fmt.Sprintf("claim term %d at %v without promotion", term, targets), targets, func(next *clusterState) bool {
-			next.fenceAll(term, targets)
+			next.fenceAll(term-1, term, targets)
 			next.claims[term-1] = pendingClaim{promoted: true}
 			return true
 		})
 		for _, order := range tieBreakOrders {
 			s.addTransition(state, fmt.Sprintf("claim term %d at %v", term, targets), targets, func(next *clusterState) bool {
-				next.fenceAll(term, targets)
-				return next.promote(term, order)
+				next.fenceAll(term-1, term, targets)
+				return next.promote(term-1, term, order)
 			})
 		}
 	}
 }
 
 func (s *search) expandInterruptedClaims(state *clusterState) {
-	for term := 1; term <= s.terms; term++ {
+	for claim := range state.claims {
+		term := claim%s.terms + 1
 		for i := range state.logs {
-			s.addTransition(state, fmt.Sprintf("fence m%d in term %d", i, term), []int{i}, func(next *clusterState) bool {
-				return next.fence(term, i)
+			s.addTransition(state, fmt.Sprintf("fence m%d in term %d by claim %d", i, term, claim), []int{i}, func(next *clusterState) bool {
+				return next.fence(claim, term, i)
 			})
 		}
 		for _, order := range tieBreakOrders {
-			s.addTransition(state, fmt.Sprintf("promote in term %d", term), []int{0, 1, 2}, func(next *clusterState) bool {
-				return next.promote(term, order)
+			s.addTransition(state, fmt.Sprintf("promote in term %d by claim %d", term, claim), []int{0, 1, 2}, func(next *clusterState) bool {
+				return next.promote(claim, term, order)
 			})
 		}
 	}
 }
 
-func claimant(term int) string {
-	return fmt.Sprintf("claimant of term %d", term)
+func claimant(claim int) string {
+	return fmt.Sprintf("claimant of claim %d", claim)
 }
 
-func (state *clusterState) fenceAll(term int, targets []int) {
+func (state *clusterState) fenceAll(index, term int, targets []int) {
 	for _, i := range targets {
-		state.fence(term, i)
+		state.fence(index, term, i)
 	}
 }
 
-func (state *clusterState) fence(term, i int) bool {
-	claim := &state.claims[term-1]
+func (state *clusterState) fence(index, term, i int) bool {
+	claim := &state.claims[index]
 	if claim.promoted || claim.lastPositions[i] != nil {
 		return false
 	}
-	if _, accepted := state.logs[i].Fence(uint64(term), claimant(term)); !accepted {
+	if _, accepted := state.logs[i].Fence(uint64(term), claimant(index)); !accepted {
 		return false
 	}
 	last := state.logs[i].Last()
@@ -233,8 +237,8 @@
 	return true
 }
 
-func (state *clusterState) promote(term int, order []promotion.Member) bool {
-	claim := &state.claims[term-1]
+func (state *clusterState) promote(index, term int, order []promotion.Member) bool {
+	claim := &state.claims[index]
 	var reports []promotion.FenceResult
 	for i, last := range claim.lastPositions {
 		if last != nil {
@@ -252,7 +256,7 @@
 	*claim = pendingClaim{promoted: true}
 	for i, m := range searchMembers {
 		if m.Endpoint == chosen {
-			state.logs[i].Promote(uint64(term), claimant(term))
+			state.logs[i].Promote(uint64(term), claimant(index))
 		}
 	}
 	return true
@@ -346,6 +350,7 @@
 			encoded = append(encoded, byte(e.Term))
 			encoded = append(encoded, e.RequestID...)
 		}
+		encoded = append(encoded, log.Claimant()...)
 		encoded = append(encoded, 250, byte(status.LastPosition.Term), byte(status.LastPosition.Index), byte(status.FencedTerm), byte(status.TermStart.Index))
 		for _, claim := range state.claims {
 			if position := claim.lastPositions[i]; position != nil {
@@ -366,9 +371,10 @@
 // parallel, because the largest takes about 20 s.
 var _ = It("Search over three members finds no lost write", func() {
 	searches := map[string]*search{
-		"terms up to 4":                     {terms: 4},
-		"interrupted claims, terms up to 3": {terms: 3, interruptedClaims: true},
-		"stale statuses, terms up to 2":     {terms: 2, staleStatuses: true},
+		"terms up to 4":                      {terms: 4, claimants: 1},
+		"interrupted claims, terms up to 3":  {terms: 3, claimants: 1, interruptedClaims: true},
+		"two claimants of each of two terms": {terms: 2, claimants: 2, interruptedClaims: true},
+		"stale statuses, terms up to 2":      {terms: 2, claimants: 1, staleStatuses: true},
 	}
 	var group sync.WaitGroup
 	for _, s := range searches {
