Use a lowered limit in full at once

Cause: a lower limit has fewer holders with larger shares, and larger shares apply after 2 s.

Change: if only the limit was lowered, the larger share applies at once; the limit binds once all VMs know it, and then the other holders have no share.

--- a/decision/limits/holding.go
+++ b/decision/limits/holding.go
@@ -21,6 +21,9 @@
 // Share returns the share in use.
 func (h *Holding) Share() int64 { return h.share }
 
+// Pending reports whether a larger share is waiting to apply.
+func (h *Holding) Pending() bool { return h.pending != 0 }
+
 // Assign records the share that this VM has in the current fleet.
 func (h *Holding) Assign(now time.Time, share int64) {
 	switch {
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -259,13 +259,16 @@
 	unregistered := l.config.UnregisteredFleetSize()
 	start := l.config.Start()
 	if w.fleet != fleet || w.limit != limit || w.unregistered != unregistered || w.start != start {
-		lowered := w.limit.Rate > limit.Rate
+		change := shareChange{
+			fleet:   w.fleet != fleet,
+			lowered: w.limit.Rate > limit.Rate,
+		}
 		w.unregistered = unregistered
 		w.start = start
 		w.fleet = fleet
 		w.limit = limit
 		w.holders = shareHolders(name, limit.HolderCount(), fleet)
-		l.assignShare(name, w, now, lowered)
+		l.assignShare(name, w, now, change)
 	}
 	if appliesFrom, ok := w.holding.Advance(now); ok {
 		l.logShare(name, w)
@@ -275,9 +278,16 @@
 	return w, true
 }
 
+// shareChange is what changed before a share is assigned.
+type shareChange struct {
+	fleet bool
+	// lowered is set if the rate of the limit was lowered.
+	lowered bool
+}
+
 // assignShare assigns this VM's share of a changed limit or in a changed fleet, and resizes
 // the bucket.
-func (l *Limiter) assignShare(name string, w *workspaceState, now time.Time, lowered bool) {
+func (l *Limiter) assignShare(name string, w *workspaceState, now time.Time, change shareChange) {
 	if _, registered := w.fleet.ByName[l.config.Fleet.Self().Name]; registered && l.registeredSince.IsZero() {
 		l.registeredSince = now
 	}
@@ -285,9 +295,14 @@
 	first := !w.assigned && (w.unregistered > 0 || !l.registeredSince.IsZero())
 	emptyAt, resumes := l.initialBucket(w, now)
 	resumes = resumes && first
-	if resumes || w.unregistered > 0 {
+	switch {
+	case resumes, w.unregistered > 0:
 		w.holding.Resume(share)
-	} else {
+	case change.lowered && !change.fleet && !w.holding.Pending():
+		// A lower limit has fewer holders. It binds once all VMs know it, and then the
+		// other holders have no share any more.
+		w.holding.Resume(share)
+	default:
 		w.holding.Assign(now, share)
 	}
 	if w.holding.Share() != previous {
@@ -297,7 +312,7 @@
 	switch {
 	case resumes:
 		w.bucket = limits.NewBucket(emptyAt, capacity, rate)
-	case lowered:
+	case change.lowered:
 		w.bucket.ResizeKeepingSurplus(now, capacity, rate, now.Add(surplusTTL))
 	default:
 		w.bucket.Resize(now, capacity, rate)
--- a/engine/lending/lending_test.go
+++ b/engine/lending/lending_test.go
@@ -337,6 +337,22 @@
 		Expect(float64(sum)).To(BeNumerically(">=", 0.9*rate*(20*step).Seconds()))
 	})
 
+	It("is used in full as soon as it is lowered", func() {
+		// Guards against refusals below a lowered limit, which has fewer holders with
+		// larger shares: half of the requests were refused for 2 s.
+		const lowerRate = 40.0
+		a.run(f, all, 70, func(i int) {
+			if i == 30 {
+				f.configureLimit(lowerRate, 20)
+			}
+		})
+		sum := 0
+		for _, n := range a.admitted[30:50] {
+			sum += n
+		}
+		Expect(float64(sum)).To(BeNumerically(">=", 0.9*lowerRate*(20*step).Seconds()))
+	})
+
 	It("holds when processes start whose registrations had lapsed", func() {
 		// Guards against a second burst at VMs whose shares others held meanwhile.
 		f.start = limits.Joined{}
