Send differences of configurations and registrations between VMs

Cause: each change of the configuration or of the fleet was sent in full to each VM. At 295 VMs the registrations take about 20 KB and a configuration of 190 workspaces about 15 KB, so that a change moved 5 MB or more.

Change: a VM keeps its last 6 configurations and the revisions at which registrations were deleted, and answers with the difference if the requesting VM accepts it. The digest of the result is checked; if it differs, the requesting VM asks for everything. VMs that are kept because of a recent message are no longer passed on.

--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -132,6 +132,14 @@
 	Address    netip.AddrPort
 	// Incarnation is different for each start of the process.
 	Incarnation uint64
+	// Revision is the store's revision of the registration.
+	Revision uint64
+}
+
+// Same reports whether two registrations differ in their revisions at most.
+func (v VM) Same(other VM) bool {
+	v.Revision = other.Revision
+	return v == other
 }
 
 // VMSnapshot is one revision of the registrations of all VMs.
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -82,6 +82,8 @@
 	seeds   atomic.Pointer[[]netip.AddrPort]
 	// nextReader counts the exchanges with readers, to contact them in turn.
 	nextReader int
+	// deltaFailed is set if changes to the registrations could not be applied.
+	deltaFailed atomic.Bool
 
 	mu sync.Mutex
 	// endpointsDigest caches the digest of digestedEndpoints.
@@ -177,7 +179,9 @@
 		Leaving:   s.leaving.Load(),
 		Endpoints: s.knownEndpoints(),
 		VMs:       s.knownVMs(),
+		Deltas:    true,
 	}
+	request.WholeFleet = s.deltaFailed.Load()
 	if c := v.Configuration(); c != nil {
 		request.ConfigVersion = c.Version
 	}
@@ -191,6 +195,11 @@
 	if response.Settled {
 		s.config.Store.RecordRunningPeer()
 	}
+	if response.ConfigDelta != nil {
+		if newer, ok := response.ConfigDelta.Apply(v.Configuration()); ok {
+			v.AcceptConfiguration(newer, response.From.Name)
+		}
+	}
 	if response.Config != nil {
 		v.AcceptConfiguration(response.Config, response.From.Name)
 	}
@@ -198,11 +207,31 @@
 		v.AcceptEndpoints(response.Endpoints, response.From.Name)
 	}
 	v.ConfirmEndpoints(response.EndpointsRevision)
-	if response.VMs != nil {
-		v.AcceptVMs(response.VMs, response.From.Name)
+	s.acceptFleet(&response)
+	return response, true
+}
+
+// acceptFleet accepts the registrations of a response, or the changes to them. If the changes
+// do not lead to the responding VM's registrations, all of them are requested next time.
+func (s *Service) acceptFleet(response *peer.GossipResponse) {
+	vms := response.VMs
+	if response.VMsDelta != nil {
+		older, _ := s.config.View.Registrations()
+		newer, ok := response.VMsDelta.Apply(older)
+		if !ok {
+			s.deltaFailed.Store(true)
+			return
+		}
+		vms = newer
+	}
+	if vms == nil {
+		return
+	}
+	s.deltaFailed.Store(false)
+	s.config.View.AcceptVMs(vms, response.From.Name)
+	if response.Settled {
 		s.config.Store.RecordFleetUpdate()
 	}
-	return response, true
 }
 
 // News handles a gossip request of another VM. Its response holds only data that is newer
@@ -221,8 +250,14 @@
 		ConfigRevision: s.config.Store.ConfigurationRevision(),
 	}
 	sameRegion := request.From.Region == v.Self().Region
-	if c := v.Configuration(); c != nil && c.Version > request.ConfigVersion && (sameRegion || request.FarConfig) {
-		response.Config = c
+	if c := v.Configuration(); c != nil && c.Version > request.ConfigVersion {
+		delta, ok := v.ConfigurationSince(request.ConfigVersion)
+		switch {
+		case ok && request.Deltas:
+			response.ConfigDelta = delta
+		case sameRegion || request.FarConfig:
+			response.Config = c
+		}
 	}
 	if known := s.knownEndpoints(); known.Revision > request.Endpoints.Revision {
 		response.EndpointsRevision = known.Revision
@@ -231,13 +266,27 @@
 		}
 	}
 	if known := s.knownVMs(); response.Settled && known.Revision > request.VMs.Revision && known.Digest != request.VMs.Digest {
-		vms := *v.VMs()
-		vms.Revision = known.Revision
-		response.VMs = &vms
+		s.addFleet(request, &response, known.Digest)
 	}
 	return response
 }
 
+// addFleet adds this VM's registrations to a response, or the changes since the requesting
+// VM's revision.
+func (s *Service) addFleet(request *peer.GossipRequest, response *peer.GossipResponse, digest uint64) {
+	if request.Deltas && !request.WholeFleet {
+		if delta, ok := s.config.View.RegistrationsSince(request.VMs.Revision); ok {
+			delta.Digest = digest
+			response.VMsDelta = delta
+			return
+		}
+	}
+	registrations, revision := s.config.View.Registrations()
+	vms := *registrations
+	vms.Revision = revision
+	response.VMs = &vms
+}
+
 // knownEndpoints returns the revision and the digest of this VM's endpoints.
 func (s *Service) knownEndpoints() peer.KnownRevision {
 	current := s.config.View.Endpoints()
@@ -255,8 +304,7 @@
 
 // knownVMs returns the revision and the digest of the registered VMs that this VM knows.
 func (s *Service) knownVMs() peer.KnownRevision {
-	// The revision is read first, so that the data is at least as recent as it states.
-	revision, current := s.config.View.VMsRevision(), s.config.View.VMs()
+	current, revision := s.config.View.Registrations()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.digestedVMs != current {
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -211,6 +213,25 @@
 	})
 })
 
+var _ = Describe("a VM whose registrations differ from those of the responding VM", func() {
+	It("gets all of them after a difference did not apply", func() {
+		// Guards against a VM whose fleet differs for good.
+		reader := startVM("reader").withData(7, 40)
+		v := startVM("other")
+		v.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 45,
+			ByName:   map[string]catalog.VM{"unknown": {Name: "unknown"}},
+		}, "test")
+		reader.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 50,
+			ByName:   map[string]catalog.VM{"reader": reader.view.Self()},
+		}, "test")
+		v.contact.readers = []catalog.VM{reader.view.Self()}
+		v.runGossip()
+		Eventually(func() []string { return slices.Sorted(maps.Keys(v.view.VMs().ByName)) }).WithTimeout(3 * time.Second).Should(Equal([]string{"reader"}))
+	})
+})
+
 var _ = Describe("News", func() {
 	request := func(v *vm, version uint64, endpoints peer.KnownRevision) peer.GossipResponse {
 		return v.News(&peer.GossipRequest{
@@ -252,6 +273,43 @@
 		Expect(request(v, 7, peer.KnownRevision{}).VMs).To(BeNil())
 	})
 
+	It("sends only what changed to a VM that has an earlier version", func() {
+		// Guards against whole configurations and registrations for each VM at each change.
+		v := startVM("source").withData(7, 40)
+		v.view.AcceptConfiguration(&catalog.Configuration{
+			Version:        9,
+			WorkspaceByKey: map[string]string{"key": "ws"},
+		}, "test")
+		v.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 50,
+			ByName: map[string]catalog.VM{"added": {
+				Name:     "added",
+				Revision: 45,
+			}},
+		}, "test")
+		response := v.News(&peer.GossipRequest{
+			From:          catalog.VM{Name: "other"},
+			ConfigVersion: 7,
+			VMs:           peer.KnownRevision{Revision: 40},
+			Deltas:        true,
+		})
+		Expect(response.Config).To(BeNil())
+		Expect(response.VMs).To(BeNil())
+		Expect(response.ConfigDelta.WorkspaceByKey.Set).To(HaveKey("key"))
+		Expect(response.VMsDelta.VMs.Set).To(HaveKey("added"))
+		Expect(response.VMsDelta.VMs.Removed).To(ConsistOf("source"))
+	})
+
+	It("sends everything to a VM that does not accept differences", func() {
+		// Guards against VMs of an earlier build that get nothing during an upgrade.
+		v := startVM("source").withData(7, 40)
+		v.view.AcceptConfiguration(&catalog.Configuration{Version: 9}, "test")
+		response := request(v, 7, peer.KnownRevision{})
+		Expect(response.Config.Version).To(Equal(uint64(9)))
+		Expect(response.ConfigDelta).To(BeNil())
+		Expect(response.VMs.ByName).To(HaveKey("source"))
+	})
+
 	It("sends changed data in full, and no older version", func() {
 		// Guards against a VM that misses a change, or that gets an older configuration
 		// than it has.
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -146,6 +146,11 @@
 	ConfigVersion uint64
 	Endpoints     KnownRevision
 	VMs           KnownRevision
+	// Deltas means that the requesting VM accepts differences in place of a whole
+	// configuration or of all registrations.
+	Deltas bool
+	// WholeFleet requests all registrations, because a difference did not apply.
+	WholeFleet bool
 }
 
 // KnownRevision is a known store revision and the digest of the data at that revision.
@@ -169,11 +174,17 @@
 	// configuration.
 	ConfigRevision uint64
 	Config         *catalog.Configuration
-	Endpoints      *catalog.EndpointSnapshot
+	// ConfigDelta is set in place of Config if the responding VM still has the requesting
+	// VM's configuration.
+	ConfigDelta *catalog.ConfigurationDelta
+	Endpoints   *catalog.EndpointSnapshot
 	// EndpointsRevision is the responding VM's revision of the endpoints if it is newer;
 	// it is set even if Endpoints is nil.
 	EndpointsRevision uint64
 	VMs               *catalog.VMSnapshot
+	// VMsDelta is set in place of VMs if the responding VM knows all changes since the
+	// requesting VM's revision.
+	VMsDelta *catalog.VMDelta
 }
 
 // Suspicion is the argument of two calls: Suspect reports to the leader that a VM does not
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -245,6 +245,7 @@
 			Region:      r.Region,
 			Address:     r.Address,
 			Incarnation: r.Incarnation,
+			Revision:    item.Revision,
 		}
 	}
 	return vms
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -48,12 +48,30 @@
 	// SinceBoot.
 	lastContact map[string]time.Duration
 	vmsRevision uint64
+	// registrations holds the registrations as other VMs get them; see Registrations.
+	registrations atomic.Pointer[catalog.VMSnapshot]
+	// deletedAt holds the revision at which a registration was found to be deleted, for
+	// all that were deleted after deletionsKnownFrom.
+	deletedAt          map[string]uint64
+	deletionsKnownFrom uint64
+	// olderConfigurations holds the last configurations before the current one, the latest
+	// last, and configurationDeltas the differences from them to the current one.
+	olderConfigurations []*catalog.Configuration
+	configurationDeltas map[uint64]*catalog.ConfigurationDelta
 }
 
 // contactTTL is how long a VM whose registration is missing stays in the fleet after its
 // last message. It is longer than a gossip round over all VMs of a small fleet.
 const contactTTL = 4 * time.Second
 
+const (
+	// maxDeletions bounds the number of remembered deletions of registrations.
+	maxDeletions = 4096
+	// maxOlderConfigurations is the number of older configurations from which a VM can tell
+	// others the difference. VMs ask twice a second, and versions may be 0.3 s apart.
+	maxOlderConfigurations = 6
+)
+
 // New returns a View without any data.
 func New(config Config) *View {
 	v := &View{
@@ -63,7 +81,9 @@
 		leavingIncarnations: map[string]uint64{},
 		rankedHomeCache:     map[string][]catalog.VM{},
 		lastContact:         map[string]time.Duration{},
+		deletedAt:           map[string]uint64{},
 	}
+	v.registrations.Store(&catalog.VMSnapshot{})
 	v.endpoints.Store(&catalog.EndpointSnapshot{})
 	v.vms.Store(&catalog.VMSnapshot{})
 	return v
@@ -93,12 +113,35 @@
 	if current != nil && c.Version <= current.Version {
 		return false
 	}
+	if current != nil {
+		first := max(len(v.olderConfigurations)+1-maxOlderConfigurations, 0)
+		v.olderConfigurations = append(slices.Clone(v.olderConfigurations[first:]), current)
+	}
+	v.configurationDeltas = map[uint64]*catalog.ConfigurationDelta{}
 	v.configuration.Store(c)
 	v.notifyChange()
 	v.config.Log.Info("The configuration changed.", "version", c.Version, "routes", len(c.Routes), "source", source)
 	return true
 }
 
+// ConfigurationSince returns the difference from an older version to the current
+// configuration; false if this VM does not have the older one any more.
+func (v *View) ConfigurationSince(version uint64) (*catalog.ConfigurationDelta, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if delta, ok := v.configurationDeltas[version]; ok {
+		return delta, true
+	}
+	for _, older := range v.olderConfigurations {
+		if older.Version == version {
+			delta := v.configuration.Load().Since(older)
+			v.configurationDeltas[version] = delta
+			return delta, true
+		}
+	}
+	return nil, false
+}
+
 // AcceptEndpoints replaces the reports if the revision is higher, and reports whether it
 // did.
 func (v *View) AcceptEndpoints(e *catalog.EndpointSnapshot, source string) bool {
@@ -154,37 +197,112 @@
 func (v *View) AcceptVMs(vms *catalog.VMSnapshot, source string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	current := v.vms.Load()
 	if vms.Revision < v.vmsRevision {
 		return false
 	}
 	v.vmsRevision = vms.Revision
-	v.retainRecentContacts(current, vms)
-	if maps.Equal(current.ByName, vms.ByName) && current.Leader == vms.Leader {
+	v.recordRegistrations(vms)
+	current := v.vms.Load()
+	fleet := v.withRecentContacts(current, v.registrations.Load())
+	if sameFleet(current, fleet) {
 		return false
 	}
-	v.vms.Store(vms)
+	v.vms.Store(fleet)
 	v.rankedHomeCache = map[string][]catalog.VM{}
-	v.config.Log.Info("The fleet changed.", "vms", len(vms.ByName), "leader", vms.Leader, "revision", vms.Revision, "source", source)
+	v.config.Log.Info("The fleet changed.", "vms", len(fleet.ByName), "leader", fleet.Leader, "revision", vms.Revision, "source", source)
 	v.notifyChange()
 	return true
 }
 
-// retainRecentContacts adds registrations that are missing from vms although their VM
+func sameFleet(a, b *catalog.VMSnapshot) bool {
+	return a.Leader == b.Leader && maps.EqualFunc(a.ByName, b.ByName, catalog.VM.Same)
+}
+
+// recordRegistrations replaces the registrations as other VMs get them, and records which
+// ones were deleted. The caller holds the lock.
+func (v *View) recordRegistrations(vms *catalog.VMSnapshot) {
+	current := v.registrations.Load()
+	if current.Revision == 0 {
+		v.deletionsKnownFrom = vms.Revision
+	}
+	if sameFleet(current, vms) && current.Revision != 0 {
+		return
+	}
+	for name := range current.ByName {
+		if _, ok := vms.ByName[name]; !ok {
+			v.deletedAt[name] = vms.Revision
+		}
+	}
+	for name := range vms.ByName {
+		delete(v.deletedAt, name)
+	}
+	if len(v.deletedAt) > maxDeletions {
+		clear(v.deletedAt)
+		v.deletionsKnownFrom = vms.Revision
+	}
+	v.registrations.Store(vms)
+}
+
+// withRecentContacts returns the registrations and those that are missing although their VM
 // sent a message recently, because leases may expire while the store is unavailable. The
 // caller holds the lock.
-func (v *View) retainRecentContacts(current, vms *catalog.VMSnapshot) {
+func (v *View) withRecentContacts(current, vms *catalog.VMSnapshot) *catalog.VMSnapshot {
 	now := v.config.Timer.SinceBoot()
+	fleet := vms
 	for name, vm := range current.ByName {
 		if _, ok := vms.ByName[name]; ok {
 			continue
 		}
 		contactedAt, contacted := v.lastContact[name]
 		incarnation, leaving := v.leavingIncarnations[name]
-		if contacted && now-contactedAt < contactTTL && !(leaving && incarnation == vm.Incarnation) {
-			vms.ByName[name] = vm
+		if !contacted || now-contactedAt >= contactTTL || (leaving && incarnation == vm.Incarnation) {
+			continue
+		}
+		if fleet == vms {
+			fleet = &catalog.VMSnapshot{
+				Revision: vms.Revision,
+				ByName:   maps.Clone(vms.ByName),
+				Leader:   vms.Leader,
+			}
+		}
+		fleet.ByName[name] = vm
+	}
+	return fleet
+}
+
+// Registrations returns the latest registrations without the VMs that are kept because of
+// a recent message, and the revision up to which they are known.
+func (v *View) Registrations() (*catalog.VMSnapshot, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registrations.Load(), v.vmsRevision
+}
+
+// RegistrationsSince returns the changes of the registrations after a revision; false if
+// this VM does not know all of them.
+func (v *View) RegistrationsSince(revision uint64) (*catalog.VMDelta, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if revision == 0 || revision < v.deletionsKnownFrom {
+		return nil, false
+	}
+	vms := v.registrations.Load()
+	delta := &catalog.VMDelta{
+		Revision: v.vmsRevision,
+		Leader:   vms.Leader,
+		VMs:      catalog.MapDelta[catalog.VM]{Set: map[string]catalog.VM{}},
+	}
+	for name, vm := range vms.ByName {
+		if vm.Revision > revision {
+			delta.VMs.Set[name] = vm
+		}
+	}
+	for name, deletedAt := range v.deletedAt {
+		if deletedAt > revision {
+			delta.VMs.Removed = append(delta.VMs.Removed, name)
 		}
 	}
+	return delta, true
 }
 
 // RecordContact records that a VM sent a request or a response.
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -185,6 +185,63 @@
 	})
 })
 
+var _ = Describe("the changes of the registrations", func() {
+	var f *fixture
+
+	// registered returns a registration that was written at a revision.
+	registered := func(name string, revision uint64) catalog.VM {
+		v := vm(name, "a1")
+		v.Revision = revision
+		return v
+	}
+
+	BeforeEach(func() {
+		f = newFixture()
+		f.AcceptVMs(registrations(10, registered("a", 3), registered("b", 4)), "test")
+		f.AcceptVMs(registrations(20, registered("a", 3), registered("c", 15)), "test")
+	})
+
+	DescribeTable("lead from any known revision to the current registrations",
+		func(revision uint64, older ...catalog.VM) {
+			// Guards against a VM that has left and stays in the fleet of VMs that get
+			// differences.
+			delta, ok := f.RegistrationsSince(revision)
+			Expect(ok).To(BeTrue())
+			current, _ := f.Registrations()
+			delta.Digest = current.Digest()
+			result, ok := delta.Apply(registrations(revision, older...))
+			Expect(ok).To(BeTrue())
+			Expect(result.ByName).To(Equal(current.ByName))
+		},
+		Entry("from the first one", uint64(10), registered("a", 3), registered("b", 4)),
+		Entry("from one in which a VM was deleted already", uint64(13), registered("a", 3)),
+		Entry("from one in which a VM was registered already", uint64(17), registered("a", 3), registered("c", 15)),
+	)
+
+	It("are unknown before the first registrations that this VM has read", func() {
+		_, ok := f.RegistrationsSince(9)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("do not apply to other registrations", func() {
+		// Guards against a fleet that silently differs from that of the sender.
+		delta, _ := f.RegistrationsSince(10)
+		current, _ := f.Registrations()
+		delta.Digest = current.Digest()
+		_, ok := delta.Apply(registrations(10, registered("b", 4)))
+		Expect(ok).To(BeFalse())
+	})
+
+	It("do not include a VM that is kept because of a recent message", func() {
+		// Guards against VMs that keep each other's outdated registrations.
+		f.RecordContact("c")
+		f.AcceptVMs(registrations(30, registered("a", 3)), "test")
+		Expect(f.VMs().ByName).To(HaveKey("c"))
+		current, _ := f.Registrations()
+		Expect(current.ByName).NotTo(HaveKey("c"))
+	})
+})
+
 var _ = Describe("homes", func() {
 	var f *fixture
 
