Read the store on fewer VMs, and not at each VM's start

Cause: at 295 VMs a start took 254 reads of all registrations and 254 of all reports, and 16 readers watched and polled the store; while a primary was missing each reader read current reports three times a second.

Change: a VM that starts gets the registrations and reports from other VMs and reads them itself after 0.5 s without any; its own registration counts before it appears in a list, unless a later list lacks it. While a primary is missing, the leader and the first reader of each region make current reads; the others make stale ones.

VMs that start at the same moment still read while their lists are incomplete.

--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -180,6 +180,7 @@
 		Endpoints: s.knownEndpoints(),
 		VMs:       s.knownVMs(),
 		Deltas:    true,
+		Settled:   s.config.Store.FleetSettled(),
 	}
 	request.WholeFleet = s.deltaFailed.Load()
 	if c := v.Configuration(); c != nil {
@@ -265,7 +266,7 @@
 			response.Endpoints = v.Endpoints()
 		}
 	}
-	if known := s.knownVMs(); response.Settled && known.Revision > request.VMs.Revision && known.Digest != request.VMs.Digest {
+	if known := s.knownVMs(); (response.Settled || !request.Settled) && known.Revision > request.VMs.Revision && known.Digest != request.VMs.Digest {
 		s.addFleet(request, &response, known.Digest)
 	}
 	return response
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -238,6 +238,7 @@
 			From:          catalog.VM{Name: "other"},
 			ConfigVersion: version,
 			Endpoints:     endpoints,
+			Settled:       true,
 		})
 	}
 
@@ -273,6 +274,13 @@
 		Expect(request(v, 7, peer.KnownRevision{}).VMs).To(BeNil())
 	})
 
+	It("sends the registrations that it has to a VM that has just started", func() {
+		// Guards against a read of all registrations from the store by each VM at the start.
+		v := startVM("source").withData(7, 40)
+		v.contact.unsettled = true
+		Expect(v.News(&peer.GossipRequest{From: catalog.VM{Name: "other"}}).VMs.ByName).To(HaveKey("source"))
+	})
+
 	It("sends only what changed to a VM that has an earlier version", func() {
 		// Guards against whole configurations and registrations for each VM at each change.
 		v := startVM("source").withData(7, 40)
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -149,6 +149,9 @@
 	// Deltas means that the requesting VM accepts differences in place of a whole
 	// configuration or of all registrations.
 	Deltas bool
+	// Settled means that the requesting VM knows the whole fleet. It gets registrations only
+	// from VMs that do, too.
+	Settled bool
 	// WholeFleet requests all registrations, because a difference did not apply.
 	WholeFleet bool
 }
--- a/engine/store/configuration.go
+++ b/engine/store/configuration.go
@@ -26,7 +26,7 @@
 // FollowConfiguration reads the configuration and then watches it until the context
 // ends. It is idle while this VM does not read the store itself.
 func (s *Syncer) FollowConfiguration(ctx context.Context) {
-	s.awaitOwnRegistration(ctx)
+	s.awaitOwnRegistration(ctx, ownRegistrationTimeout)
 	backoff := s.newBackoff()
 	for ctx.Err() == nil {
 		if !s.ReadsStore() {
@@ -56,8 +56,8 @@
 
 // awaitOwnRegistration waits until this VM appears in the fleet, so that it knows
 // whether it is a reader. It gives up when the store is unreachable.
-func (s *Syncer) awaitOwnRegistration(ctx context.Context) {
-	timeout := s.config.Timer.After(ownRegistrationTimeout)
+func (s *Syncer) awaitOwnRegistration(ctx context.Context, limit time.Duration) {
+	timeout := s.config.Timer.After(limit)
 	defer timeout.Stop()
 	for s.failingSince.Load() == 0 {
 		changed := s.config.View.Changed()
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -50,6 +50,7 @@
 	watches            int
 	configurationReads int
 	staleReads         []bool
+	ranges             int
 }
 
 func newFakeStore() *fakeStore {
@@ -84,6 +85,7 @@
 	if f.unreachable {
 		return nil, 0, errUnreachable
 	}
+	f.ranges++
 	if stale && f.serveOldReads {
 		return f.oldItems, f.oldRevision, nil
 	}
@@ -158,6 +160,13 @@
 	f.revision++
 }
 
+// countRanges returns the number of reads of the registrations.
+func (f *fakeStore) countRanges() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ranges
+}
+
 // keys returns the keys with a prefix.
 func (f *fakeStore) keys(prefix string) []string {
 	f.mu.Lock()
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -112,19 +112,20 @@
 	if !s.registrationChecked {
 		change.Conditions = []Condition{{Key: vmPrefix + self.Name}}
 	}
-	_, err = s.config.Store.Commit(ctx, change)
+	revision, err := s.config.Store.Commit(ctx, change)
 	kept := !s.registrationChecked && errors.Is(err, ErrConflict)
 	// A commit without a response may have written the registration, so a later conflict
 	// would not show that it existed before.
 	s.registrationChecked = true
 	if kept {
 		change.Conditions = nil
-		_, err = s.config.Store.Commit(ctx, change)
+		revision, err = s.config.Store.Commit(ctx, change)
 	}
 	if err != nil {
 		return 0, err
 	}
 	s.registrationKept.Store(kept)
+	s.config.View.RecordOwnRegistration(revision)
 	s.config.Log.Info("Registered this VM.", "lease", lease, "keptRegistration", kept)
 	return lease, nil
 }
@@ -177,16 +178,35 @@
 	}
 }
 
-// FollowFleet polls the registrations until the context ends. It is idle while this VM
-// does not read the store itself. The first read waits for this VM's own registration.
-func (s *Syncer) FollowFleet(ctx context.Context) {
+// awaitFleet waits for this VM's own registration and then for the fleet, which other VMs
+// send. Reading the registrations on each VM that starts costs a call each, and at the start
+// of 295 VMs 9 MB on the link between regions. The seeds do not wait for others.
+func (s *Syncer) awaitFleet(ctx context.Context) {
 	timeout := s.config.Timer.After(ownRegistrationTimeout / 2)
+	defer timeout.Stop()
 	select {
 	case <-s.registered:
 	case <-timeout.C():
+		return
 	case <-ctx.Done():
+		return
+	}
+	for !s.config.IsSeed && s.config.View.VMsRevision() == 0 {
+		changed := s.config.View.Changed()
+		select {
+		case <-changed:
+		case <-timeout.C():
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
-	timeout.Stop()
+}
+
+// FollowFleet polls the registrations until the context ends. It is idle while this VM
+// does not read the store itself.
+func (s *Syncer) FollowFleet(ctx context.Context) {
+	s.awaitFleet(ctx)
 	backoff := s.newBackoff()
 	stale := false
 	for ctx.Err() == nil {
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -46,6 +46,9 @@
 	Timer               timer.Service
 	Log                 logr.Logger
 	Registry            metrics.Registry
+	// IsSeed is set if other VMs know this VM's address from their settings, and so contact it
+	// at their start.
+	IsSeed bool
 	// Jitter returns a random value in [0, 1).
 	Jitter func() float64
 }
@@ -168,6 +171,7 @@
 // FollowReports polls the endpoints' reports until the context ends. It is idle while
 // this VM does not read the store itself.
 func (s *Syncer) FollowReports(ctx context.Context) {
+	s.awaitOwnRegistration(ctx, ownRegistrationTimeout/2)
 	backoff := s.newBackoff()
 	// The first read has to be current, because a stale one may lack a primary.
 	stale := false
@@ -196,7 +200,7 @@
 		if s.config.View.IsPrimaryMissing() {
 			// Reports that expired during an outage are written again one by one.
 			wait = s.withJitter(noPrimaryPollInterval)
-			stale = false
+			stale = !s.readsCurrentReports()
 		}
 		interval := s.config.Timer.After(wait)
 		select {
@@ -209,6 +213,14 @@
 	}
 }
 
+// readsCurrentReports reports whether this VM reads current reports while a primary is
+// missing: the leader, which promotes another one, and the first reader of each region. The
+// others read stale ones, which cost a tenth, and receive the leader's announcement.
+func (s *Syncer) readsCurrentReports() bool {
+	rank, _ := s.liveRank()
+	return rank <= 0 || s.config.View.VMs().Leader == s.config.View.Self().Name
+}
+
 // storeMax sets the value to the candidate if that is higher.
 func storeMax(value *atomic.Int64, candidate int64) {
 	for {
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -48,6 +48,8 @@
 	// SinceBoot.
 	lastContact map[string]time.Duration
 	vmsRevision uint64
+	// ownRevision is the revision of this VM's own registration; 0 for none.
+	ownRevision uint64
 	// registrations holds the registrations as other VMs get them; see Registrations.
 	registrations atomic.Pointer[catalog.VMSnapshot]
 	// deletedAt holds the revision at which a registration was found to be deleted, for
@@ -202,6 +204,23 @@
 	}
 	v.vmsRevision = vms.Revision
 	v.recordRegistrations(vms)
+	return v.updateFleet(source)
+}
+
+// RecordOwnRegistration records that this VM's registration was written at a revision. Until
+// a later list arrives, this VM counts as registered although it is not in its list.
+func (v *View) RecordOwnRegistration(revision uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ownRevision = revision
+	if v.vmsRevision != 0 {
+		v.updateFleet("self")
+	}
+}
+
+// updateFleet derives the fleet from the registrations, and reports whether it changed. The
+// caller holds the lock.
+func (v *View) updateFleet(source string) bool {
 	current := v.vms.Load()
 	fleet := v.withRecentContacts(current, v.registrations.Load())
 	if sameFleet(current, fleet) {
@@ -209,7 +228,7 @@
 	}
 	v.vms.Store(fleet)
 	v.rankedHomeCache = map[string][]catalog.VM{}
-	v.config.Log.Info("The fleet changed.", "vms", len(fleet.ByName), "leader", fleet.Leader, "revision", vms.Revision, "source", source)
+	v.config.Log.Info("The fleet changed.", "vms", len(fleet.ByName), "leader", fleet.Leader, "revision", v.vmsRevision, "source", source)
 	v.notifyChange()
 	return true
 }
@@ -244,30 +263,34 @@
 }
 
 // withRecentContacts returns the registrations and those that are missing although their VM
-// sent a message recently, because leases may expire while the store is unavailable. The
-// caller holds the lock.
+// sent a message recently, because leases may expire while the store is unavailable. It also
+// adds this VM if it has registered since. The caller holds the lock.
 func (v *View) withRecentContacts(current, vms *catalog.VMSnapshot) *catalog.VMSnapshot {
 	now := v.config.Timer.SinceBoot()
-	fleet := vms
+	missing := map[string]catalog.VM{}
 	for name, vm := range current.ByName {
 		if _, ok := vms.ByName[name]; ok {
 			continue
 		}
 		contactedAt, contacted := v.lastContact[name]
 		incarnation, leaving := v.leavingIncarnations[name]
-		if !contacted || now-contactedAt >= contactTTL || (leaving && incarnation == vm.Incarnation) {
-			continue
+		if contacted && now-contactedAt < contactTTL && !(leaving && incarnation == vm.Incarnation) {
+			missing[name] = vm
 		}
-		if fleet == vms {
-			fleet = &catalog.VMSnapshot{
-				Revision: vms.Revision,
-				ByName:   maps.Clone(vms.ByName),
-				Leader:   vms.Leader,
-			}
-		}
-		fleet.ByName[name] = vm
 	}
-	return fleet
+	self := v.config.Self
+	if _, ok := vms.ByName[self.Name]; !ok && v.ownRevision > v.vmsRevision {
+		missing[self.Name] = self
+	}
+	if len(missing) == 0 {
+		return vms
+	}
+	maps.Copy(missing, vms.ByName)
+	return &catalog.VMSnapshot{
+		Revision: vms.Revision,
+		ByName:   missing,
+		Leader:   vms.Leader,
+	}
 }
 
 // Registrations returns the latest registrations without the VMs that are kept because of
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,6 +126,7 @@
 		Log:                 config.Log.WithName("store"),
 		Registry:            config.Registry,
 		Jitter:              v.randomFraction,
+		IsSeed:              slices.Contains(config.Seeds, config.Self.Address),
 	})
 	v.home = endpoint.New(endpoint.Config{
 		Dialer:             config.Dialer,
