Let VMs that the store turns away ask readers, and gossip with few neighbours

Change: a VM without a registration asks the readers while the store fails for it. A VM exchanges data with 6 VMs of its region and 2 of others, which it selects by hashing. Whether a process's VM stayed registered is told by running VMs instead of a failed condition, which cost a call. The contact with the store counts from the request: a response that a suspended VM handles late does not make its data recent (the known limit in docs/platform.md).

--- a/decision/confsync/reading.go
+++ b/decision/confsync/reading.go
@@ -75,17 +75,18 @@
 func (in SourceInput) ChooseSource() Source {
 	readers := ReaderCount(in.RegionSize)
 	switch {
+	case in.HasUpdate && in.StoreUnreachable && !in.IsLeader && (!in.Registered || in.Rank >= readers):
+		// The renewals of the VM's registration show when the store responds again. In a
+		// large fleet, the VMs would otherwise send more requests during an outage of the
+		// store than at any other time. This includes VMs that the store turns away until
+		// their registration has expired.
+		return AskReaders{}
 	case !in.Registered:
 		return ReadStore{Reason: "the VM is not registered"}
 	case in.Rank < readers:
 		return ReadStore{Reason: "the VM is a reader"}
 	case in.IsLeader:
 		return ReadStore{Reason: "the VM is the leader"}
-	case in.HasUpdate && in.StoreUnreachable:
-		// The renewals of the VM's registration show when the store responds again. In a
-		// large fleet, the VMs would otherwise send more requests during an outage of the
-		// store than at any other time.
-		return AskReaders{}
 	case in.HasUpdate && in.UpdateAge > MaxUpdateAge:
 		return ReadStore{Reason: "the latest update from the readers is too old"}
 	case !in.HasUpdate && in.Uptime > min(time.Duration(in.Rank/readers*in.RegionSize)*StartDelayPerVM, MaxStartDelay):
--- a/decision/confsync/reading_test.go
+++ b/decision/confsync/reading_test.go
@@ -49,6 +49,11 @@
 			r.RegionSize = 250
 		}, confsync.ReadStore{Reason: "the VM is a reader"}),
 		Entry("it is the leader", func(r *confsync.SourceInput) { r.IsLeader = true }, confsync.ReadStore{Reason: "the VM is the leader"}),
+		Entry("its registration has expired because the store turns it away", func(r *confsync.SourceInput) {
+			r.Registered = false
+			r.Rank = -1
+			r.StoreUnreachable = true
+		}, confsync.AskReaders{}),
 		Entry("its registration has expired", func(r *confsync.SourceInput) { r.Registered = false },
 			confsync.ReadStore{Reason: "the VM is not registered"}),
 		Entry("it has just started with many others", func(r *confsync.SourceInput) {
--- a/decision/limits/start.go
+++ b/decision/limits/start.go
@@ -30,8 +30,8 @@
 
 // StartInput is the input of the decision about the start of a process.
 type StartInput struct {
-	// RegistrationKept is true if the registration of the VM's previous process existed
-	// when this process registered.
+	// RegistrationKept is true if other VMs still know the registration of the VM's previous
+	// process.
 	RegistrationKept bool
 	// RunningPeer is true if a VM has responded that has known the whole fleet for a while.
 	RunningPeer bool
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"iter"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/view"
@@ -27,6 +29,10 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// startupInterval is used until this VM has a configuration.
 	startupInterval = 100 * time.Millisecond
+	// nearNeighbours and farNeighbours are the numbers of VMs of the own and of other regions
+	// with which a VM exchanges data.
+	nearNeighbours = 6
+	farNeighbours  = 2
 	// crossRegionDelay is how long the readers of a region receive no updates from the
 	// store before they request configurations from other regions. Sending a large
 	// configuration between regions takes long, and the other VMs of the region receive it
@@ -53,8 +59,9 @@
 	ConfigurationRevision() uint64
 	// FleetSettled reports whether this VM knows the whole fleet.
 	FleetSettled() bool
-	// RecordRunningPeer records that a VM whose fleet is settled has responded.
-	RecordRunningPeer()
+	// RecordRunningPeer records that a VM whose fleet is settled has responded, and whether
+	// that VM knows a registration of an earlier process of this VM.
+	RecordRunningPeer(knowsPredecessor bool)
 	// RecordFleetUpdate records that a VM whose fleet is settled has sent the registrations.
 	RecordFleetUpdate()
 	// RecordReaderUpdate records that a reader has sent the data that the store held at a
@@ -92,6 +99,9 @@
 	// vmsDigest caches the digest of digestedVMs.
 	digestedVMs *catalog.VMSnapshot
 	vmsDigest   uint64
+	// rankedNeighbours caches the neighbours in neighbourFleet.
+	neighbourFleet   *catalog.VMSnapshot
+	rankedNeighbours []catalog.VM
 }
 
 // New returns a Service. Start it with Run.
@@ -115,7 +125,7 @@
 func (s *Service) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.pullFromReader(ctx)
-		s.exchangeWithRandomPeer(ctx)
+		s.exchangeWithNeighbour(ctx)
 		wait := exchangeInterval
 		switch {
 		case s.config.View.Configuration() == nil:
@@ -137,24 +147,69 @@
 	}
 }
 
-// exchangeWithRandomPeer starts an exchange with one other VM chosen at random.
-func (s *Service) exchangeWithRandomPeer(ctx context.Context) {
-	peers := s.config.View.Peers()
-	if len(peers) == 0 {
+// exchangeWithNeighbour exchanges data with one of this VM's neighbours, chosen at random.
+func (s *Service) exchangeWithNeighbour(ctx context.Context) {
+	neighbours := s.neighbours()
+	if len(neighbours) == 0 {
 		for _, address := range *s.seeds.Load() {
 			if address != s.config.View.Self().Address {
-				peers = append(peers, catalog.VM{
+				neighbours = append(neighbours, catalog.VM{
 					Name:    address.String(),
 					Address: address,
 				})
 			}
 		}
 	}
-	if len(peers) > 0 {
-		s.exchange(ctx, peers[s.config.RandomIndex(len(peers))])
+	if len(neighbours) > 0 {
+		s.exchange(ctx, neighbours[s.config.RandomIndex(len(neighbours))])
 	}
 }
 
+// neighbours returns the available VMs among the neighbours of this VM, or all other VMs if
+// none of the neighbours is available.
+func (s *Service) neighbours() []catalog.VM {
+	v := s.config.View
+	fleet := v.VMs()
+	s.mu.Lock()
+	if s.neighbourFleet != fleet {
+		s.neighbourFleet = fleet
+		s.rankedNeighbours = rankNeighbours(v.Self(), fleet)
+	}
+	ranked := s.rankedNeighbours
+	s.mu.Unlock()
+	available := make([]catalog.VM, 0, len(ranked))
+	for _, vm := range ranked {
+		if v.IsAvailable(vm) {
+			available = append(available, vm)
+		}
+	}
+	if len(available) == 0 {
+		return v.Peers()
+	}
+	return available
+}
+
+// rankNeighbours selects the VMs with which a VM exchanges data: a few of its own region and
+// a few of the others. Each VM selects others, so that all VMs are connected through their
+// neighbours. A random choice among all VMs would open a connection to each of them.
+func rankNeighbours(self catalog.VM, fleet *catalog.VMSnapshot) []catalog.VM {
+	inRegion := func(same bool) iter.Seq[string] {
+		return func(yield func(string) bool) {
+			for name, vm := range fleet.ByName {
+				if name != self.Name && (vm.Region == self.Region) == same && !yield(name) {
+					return
+				}
+			}
+		}
+	}
+	names := append(routing.First(self.Name, inRegion(true), nearNeighbours), routing.First(self.Name, inRegion(false), farNeighbours)...)
+	neighbours := make([]catalog.VM, 0, len(names))
+	for _, name := range names {
+		neighbours = append(neighbours, fleet.ByName[name])
+	}
+	return neighbours
+}
+
 // pullFromReader requests the data of the store from one of the readers. It contacts them in
 // turn, so that a reader that has lost the store does not make the data of this VM stale.
 func (s *Service) pullFromReader(ctx context.Context) {
@@ -194,7 +249,7 @@
 	v.RecordContact(response.From.Name)
 	v.SetLeaving(response.From.Name, response.From.Incarnation, response.Leaving)
 	if response.Settled {
-		s.config.Store.RecordRunningPeer()
+		s.config.Store.RecordRunningPeer(response.KnowsPredecessor)
 	}
 	if response.ConfigDelta != nil {
 		if newer, ok := response.ConfigDelta.Apply(v.Configuration()); ok {
@@ -250,6 +305,10 @@
 		Age:            s.config.Store.DataAge(),
 		ConfigRevision: s.config.Store.ConfigurationRevision(),
 	}
+	if registrations, _ := v.Registrations(); response.Settled {
+		known, ok := registrations.ByName[request.From.Name]
+		response.KnowsPredecessor = ok && known.Incarnation != request.From.Incarnation
+	}
 	sameRegion := request.From.Region == v.Self().Region
 	if c := v.Configuration(); c != nil && c.Version > request.ConfigVersion {
 		delta, ok := v.ConfigurationSince(request.ConfigVersion)
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -171,6 +171,9 @@
 	Leaving bool
 	// Settled means that the responding VM knows the whole fleet.
 	Settled bool
+	// KnowsPredecessor means that the responding VM knows a registration of an earlier
+	// process of the requesting VM.
+	KnowsPredecessor bool
 	// Age is the time since the store confirmed the data of the responding VM.
 	Age time.Duration
 	// ConfigRevision is the store revision up to which the responding VM knows the
--- a/engine/store/configuration.go
+++ b/engine/store/configuration.go
@@ -83,8 +83,9 @@
 
 // readConfiguration reads the current configuration, or watches for the first one.
 func (s *Syncer) readConfiguration(ctx context.Context) (changed bool, err error) {
+	sentAt := s.config.Timer.SinceBoot()
 	configuration, revision, err := s.config.ConfigurationSource.Read(ctx)
-	s.recordCall(err)
+	s.recordCall(sentAt, err)
 	switch {
 	case err != nil:
 		return false, err
@@ -107,8 +108,9 @@
 
 // watchAfter waits for a configuration that is newer than a revision.
 func (s *Syncer) watchAfter(ctx context.Context, revision uint64, timeout time.Duration) (changed bool, err error) {
+	sentAt := s.config.Timer.SinceBoot()
 	configuration, reached, err := s.config.ConfigurationSource.Watch(ctx, revision, timeout)
-	s.recordResponse(err)
+	s.recordResponse(sentAt, err)
 	if err != nil {
 		return false, err
 	}
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -54,6 +54,7 @@
 	backoff := s.newBackoff()
 	for ctx.Err() == nil {
 		var err error
+		sentAt := s.config.Timer.SinceBoot()
 		if lease == 0 {
 			lease, err = s.register(ctx)
 			if err == nil {
@@ -68,11 +69,11 @@
 			s.config.Log.Info("The registration lease expired; registering again.")
 			continue
 		case err != nil:
-			s.recordCall(err)
+			s.recordCall(sentAt, err)
 			backoff.sleep(ctx)
 			continue
 		}
-		s.recordCall(nil)
+		s.recordCall(sentAt, nil)
 		backoff.reset()
 		s.sleep(ctx, s.withJitter(registrationTTL/renewalsPerTTL))
 	}
@@ -102,31 +103,18 @@
 	if err != nil {
 		return 0, err
 	}
-	change := Change{
+	revision, err := s.config.Store.Commit(ctx, Change{
 		Writes: []Write{{
 			Key:   vmPrefix + self.Name,
 			Value: value,
 			Lease: lease,
 		}},
-	}
-	if !s.registrationChecked {
-		change.Conditions = []Condition{{Key: vmPrefix + self.Name}}
-	}
-	revision, err := s.config.Store.Commit(ctx, change)
-	kept := !s.registrationChecked && errors.Is(err, ErrConflict)
-	// A commit without a response may have written the registration, so a later conflict
-	// would not show that it existed before.
-	s.registrationChecked = true
-	if kept {
-		change.Conditions = nil
-		revision, err = s.config.Store.Commit(ctx, change)
-	}
+	})
 	if err != nil {
 		return 0, err
 	}
-	s.registrationKept.Store(kept)
 	s.config.View.RecordOwnRegistration(revision)
-	s.config.Log.Info("Registered this VM.", "lease", lease, "keptRegistration", kept)
+	s.config.Log.Info("Registered this VM.", "lease", lease)
 	return lease, nil
 }
 
@@ -148,8 +136,15 @@
 	return *s.start.Load()
 }
 
-// RecordRunningPeer records that a VM whose fleet is settled has responded.
-func (s *Syncer) RecordRunningPeer() { s.runningPeer.Store(true) }
+// RecordRunningPeer records that a VM whose fleet is settled has responded, and whether that
+// VM knows a registration of an earlier process of this VM.
+func (s *Syncer) RecordRunningPeer(knowsPredecessor bool) {
+	if s.runningPeer.Load() {
+		return
+	}
+	s.registrationKept.Store(knowsPredecessor)
+	s.runningPeer.Store(true)
+}
 
 // FleetSettled reports whether this VM knows the whole fleet. A process that starts while
 // VMs register again after an outage reads only some of them.
@@ -216,10 +211,11 @@
 		}
 		requestedAt := s.config.Timer.SinceBoot()
 		items, revision, err := s.config.Store.Range(ctx, fleetPrefix, stale)
-		s.recordCall(err)
+		s.recordCall(requestedAt, err)
 		if err == nil && stale && s.seenRevisions.isStale(requestedAt, revision) {
+			requestedAt = s.config.Timer.SinceBoot()
 			items, revision, err = s.config.Store.Range(ctx, fleetPrefix, false)
-			s.recordCall(err)
+			s.recordCall(requestedAt, err)
 		}
 		if err != nil {
 			backoff.sleep(ctx)
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -57,7 +57,7 @@
 // nanoseconds; its clock advances while the VM is suspended.
 type Syncer struct {
 	config Config
-	// lastContact is the time of the store's last response; failingSince is the time of
+	// lastContact is when the last call was sent to which the store responded; failingSince is the time of
 	// the first failed call after it, or 0; healthySince is the time since which no call
 	// except for watches has failed, or 0.
 	lastContact  atomic.Int64
@@ -71,9 +71,6 @@
 	caughtUp atomic.Bool
 	// seenRevisions holds the store's revisions that responses have shown.
 	seenRevisions revisionLog
-	// registrationChecked is set once this process has tried to write its registration.
-	// Only Register uses it.
-	registrationChecked bool
 	// registrationKept and runningPeer are the input of the decision start.
 	registrationKept atomic.Bool
 	runningPeer      atomic.Bool
@@ -139,22 +136,24 @@
 	}
 }
 
-// recordCall records the result of a call other than a watch. A failure ends the time for
-// which the store counts as healthy.
-func (s *Syncer) recordCall(err error) {
-	if !s.recordResponse(err) {
+// recordCall records the result of a call, other than a watch, that was sent at a reading of
+// SinceBoot. A failure ends the time for which the store counts as healthy.
+func (s *Syncer) recordCall(sentAt time.Duration, err error) {
+	if !s.recordResponse(sentAt, err) {
 		s.healthySince.Store(0)
 	}
 }
 
-// recordResponse records the result of a call and reports whether the store responded.
+// recordResponse records the result of a call and reports whether the store responded. The
+// contact counts from the request: if this VM is suspended before it handles the response,
+// the response says nothing about the time after.
 // For watches it is called directly, because a failed watch does not make the store
 // unhealthy: the store drops watches when it compacts its history and still responds to
 // other calls.
-func (s *Syncer) recordResponse(err error) bool {
+func (s *Syncer) recordResponse(sentAt time.Duration, err error) bool {
 	now := int64(s.config.Timer.SinceBoot())
 	if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, ErrConflict) {
-		s.lastContact.Store(now)
+		storeMax(&s.lastContact, max(int64(sentAt), 1))
 		s.healthySince.CompareAndSwap(0, now)
 		if failingSince := s.failingSince.Swap(0); failingSince != 0 {
 			s.config.Log.Info("The store is reachable again.", "outage", time.Duration(now-failingSince).String())
@@ -182,11 +181,12 @@
 		}
 		requestedAt, sentAt := s.config.Timer.SinceBoot(), s.config.Timer.Now()
 		endpoints, err := s.config.ReportSource.Read(ctx, stale)
-		s.recordCall(err)
+		s.recordCall(requestedAt, err)
 		s.recordLatency(s.config.Timer.Now().Sub(sentAt))
 		if err == nil && stale && s.seenRevisions.isStale(requestedAt, endpoints.Revision) {
+			requestedAt = s.config.Timer.SinceBoot()
 			endpoints, err = s.config.ReportSource.Read(ctx, false)
-			s.recordCall(err)
+			s.recordCall(requestedAt, err)
 		}
 		if err != nil {
 			backoff.sleep(ctx)
