--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -8,6 +8,7 @@
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
 )
@@ -161,6 +162,7 @@
 		Timeout:     statementTimeout(t.auth.route),
 	}
 	go func() {
+		defer guard.Recover(s.manager.config.Log, "rollback")
 		if _, err := s.manager.callHome(context.Background(), t.home, request); err != nil {
 			s.manager.config.Log.V(1).Info("Could not send a rollback to the transaction's home VM.", "peer", t.home.Name, "error", err.Error())
 		}
--- a/engine/caller/sample.go
+++ b/engine/caller/sample.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 )
 
@@ -55,6 +56,7 @@
 // transaction at the endpoint and rolls it back, which takes no slot and proves that
 // the endpoint is the primary.
 func (s *SessionManager) requestSample(database string) {
+	defer guard.Recover(s.config.Log, "sample")
 	configuration := s.config.View.Configuration()
 	primary, ok := s.config.View.Primary(database)
 	if !ok || configuration == nil {
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -103,7 +103,15 @@
 		e.config.Log.V(1).Info("A statement waited for a slot.", "request", request.ID, "endpoint", e.target.Key.ID,
 			"database", e.target.Database, "workspace", request.Workspace, "waited", waited.String())
 	}
-	measured := run()
+	measured := false
+	// The slot is released after a panic, too.
+	defer func() { e.releaseSlot(item, measured) }()
+	measured = run()
+	return nil
+}
+
+// releaseSlot ends an item that ran and starts the next ones.
+func (e *endpointClient) releaseSlot(item uint64, measured bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if measured {
@@ -112,7 +120,6 @@
 		e.queue.ReleaseUnmeasured(item)
 	}
 	e.processQueue()
-	return nil
 }
 
 // enqueue adds a statement to the queue. It returns the id of the queue item and the
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -15,6 +15,7 @@
 	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/engine/view"
@@ -124,6 +125,7 @@
 		return
 	}
 	go func() {
+		defer guard.Recover(m.config.Log, "suspicion")
 		request := &peer.Suspicion{
 			From:   m.config.View.Self().Name,
 			Target: target,
@@ -256,10 +258,13 @@
 func (m *Manager) runExclusive(d *databaseState, run func()) {
 	d.busy = true
 	go func() {
+		defer func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			d.busy = false
+		}()
+		defer guard.Recover(m.config.Log, "replacement of a primary")
 		run()
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		d.busy = false
 	}()
 }
 
--- a/engine/failover/leader.go
+++ b/engine/failover/leader.go
@@ -7,6 +7,7 @@
 
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/decision/takeover"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/store"
 )
 
@@ -153,6 +154,7 @@
 	}
 	for name := range configuration.Databases {
 		go func() {
+			defer guard.Recover(m.config.Log, "probe")
 			if primary, ok := m.config.View.Primary(name); ok && !m.responds(ctx, primary) {
 				m.Suspect(primary)
 			}
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/view"
 	"amaranthdock.dev/timer"
@@ -143,7 +144,10 @@
 // learn that this VM is leaving.
 func (s *Service) AnnounceLeaving(ctx context.Context) {
 	for _, vm := range s.config.View.Peers() {
-		go s.exchange(ctx, vm)
+		go func() {
+			defer guard.Recover(s.config.Log, "exchange")
+			s.exchange(ctx, vm)
+		}()
 	}
 }
 
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -18,6 +18,7 @@
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/timer"
 )
@@ -397,6 +398,9 @@
 
 // borrow requests a loan from one holder after the other until one of them lends tokens.
 func (l *Limiter) borrow(name string, w *workspaceState, done chan struct{}) {
+	defer guard.Recover(l.config.Log, "loan")
+	borrowed, lender := int64(0), 0
+	defer func() { l.endLoan(w, done, borrowed, lender) }()
 	l.mu.Lock()
 	request := &peer.LoanRequest{
 		Workspace: name,
@@ -405,10 +409,9 @@
 	}
 	holders, first := w.holders, w.nextHolder
 	l.mu.Unlock()
-	borrowed := int64(0)
 	for i := 0; i < len(holders) && borrowed == 0; i++ {
-		index := (first + i) % len(holders)
-		vm := holders[index]
+		lender = (first + i) % len(holders)
+		vm := holders[lender]
 		if vm.Name == l.config.Fleet.Self().Name || l.config.Peers.Unreachable(vm.Name) {
 			continue
 		}
@@ -423,21 +426,23 @@
 		// later time window than the one in which the lender took them from its bucket.
 		if l.config.Timer.SinceBoot()-started <= limits.LoanTimeout {
 			borrowed = response.Tokens
-			first = index
 		}
 	}
 	l.borrowed.Inc(borrowed)
+}
+
+// endLoan records the result of a loan request and wakes the requests that wait for it.
+func (l *Limiter) endLoan(w *workspaceState, done chan struct{}, borrowed int64, lender int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.config.Timer.Now()
 	w.loanDone = nil
 	if borrowed > 0 {
-		w.nextHolder = first
+		w.nextHolder = lender
 		w.expiringTokens = borrowed
 		w.tokensExpireAt = l.config.Timer.SinceBoot() + loanTTL
 	} else {
 		w.nextHolder++
-		w.backoffUntil = now.Add(lenderBackoff)
+		w.backoffUntil = l.config.Timer.Now().Add(lenderBackoff)
 	}
 	close(done)
 }
--- a/engine/peer/peer_test.go
+++ b/engine/peer/peer_test.go
@@ -41,6 +41,9 @@
 	if request.Text == "hold" {
 		<-f.unblock
 	}
+	if request.Text == "panic" {
+		panic("broken")
+	}
 	if request.Text == "refuse" {
 		return &peer.RunResponse{Refused: refusal.NewNotRun(refusal.Overloaded, "full")}
 	}
@@ -226,6 +229,14 @@
 		Expect(answer.Config.Routes["h"].Kind).To(Equal(catalog.ReadYourWrites))
 	})
 
+	It("end with an error when the VM panics, and others on the same connection go on", func() {
+		// Guards against one message that ends the process of a home.
+		_, err := p.run(&peer.RunRequest{Text: "panic"}, time.Second)
+		Expect(err).To(MatchError(ContainSubstring("unexpected error")))
+		_, err = p.run(&peer.RunRequest{}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("fail as not sent when the VM is not listening", func() {
 		// Guards against an unknown outcome of a call that cannot have been sent.
 		Expect(p.listener.Close()).To(Succeed())
--- a/engine/peer/server.go
+++ b/engine/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/timer"
 )
 
@@ -87,9 +88,11 @@
 // serveConnection serves the calls of one connection. When the connection ends, it rolls
 // back the transactions that were begun on it and are still open.
 func (s *Server) serveConnection(ctx context.Context, connection net.Conn) {
+	defer guard.Recover(s.config.Log, "connection of a VM")
 	service := &connectionService{
 		ctx:              ctx,
 		handler:          s.config.Handler,
+		log:              s.config.Log,
 		openTransactions: map[TransactionKey]struct{}{},
 	}
 	server := rpc.NewServer()
@@ -108,10 +111,12 @@
 
 // connectionService is the net/rpc service of one connection and tracks the transactions
 // that were begun on it. Its exported methods have the signature that net/rpc requires.
-// Their errors are always nil, since errors of statements are part of the response.
+// Errors of statements are part of the response; an error of a method means that it ended
+// with a panic.
 type connectionService struct {
 	ctx     context.Context
 	handler Handler
+	log     logr.Logger
 
 	mu               sync.Mutex
 	openTransactions map[TransactionKey]struct{}
@@ -123,7 +128,8 @@
 
 // Run runs a statement. If the connection has ended meanwhile, it rolls back the
 // transaction of the statement.
-func (s *connectionService) Run(request *RunRequest, reply *RunResponse) error {
+func (s *connectionService) Run(request *RunRequest, reply *RunResponse) (err error) {
+	defer guard.RecoverTo(s.log, "Run", &err)
 	if request.Step == StepFirst {
 		s.mu.Lock()
 		s.openTransactions[request.Transaction] = struct{}{}
@@ -146,31 +152,36 @@
 }
 
 // Lend lends tokens of a workspace's rate limit.
-func (s *connectionService) Lend(request *LoanRequest, reply *LoanResponse) error {
+func (s *connectionService) Lend(request *LoanRequest, reply *LoanResponse) (err error) {
+	defer guard.RecoverTo(s.log, "Lend", &err)
 	*reply = s.handler.Lend(request)
 	return nil
 }
 
 // News handles a gossip request.
-func (s *connectionService) News(request *GossipRequest, reply *GossipResponse) error {
+func (s *connectionService) News(request *GossipRequest, reply *GossipResponse) (err error) {
+	defer guard.RecoverTo(s.log, "News", &err)
 	*reply = s.handler.News(request)
 	return nil
 }
 
 // Suspect records that the calling VM does not reach an endpoint.
-func (s *connectionService) Suspect(request *Suspicion, _ *Empty) error {
+func (s *connectionService) Suspect(request *Suspicion, _ *Empty) (err error) {
+	defer guard.RecoverTo(s.log, "Suspect", &err)
 	s.handler.Suspect(request)
 	return nil
 }
 
 // Confirm probes an endpoint.
-func (s *connectionService) Confirm(request *Suspicion, reply *ConfirmResponse) error {
+func (s *connectionService) Confirm(request *Suspicion, reply *ConfirmResponse) (err error) {
+	defer guard.RecoverTo(s.log, "Confirm", &err)
 	*reply = s.handler.Confirm(s.ctx, request)
 	return nil
 }
 
 // Promoted records the announcement of a promotion.
-func (s *connectionService) Promoted(request *PromotionNotice, _ *Empty) error {
+func (s *connectionService) Promoted(request *PromotionNotice, _ *Empty) (err error) {
+	defer guard.RecoverTo(s.log, "Promoted", &err)
 	s.handler.Promoted(request)
 	return nil
 }
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -21,6 +21,7 @@
 	"amaranthdock.dev/engine/endpoint"
 	"amaranthdock.dev/engine/failover"
 	"amaranthdock.dev/engine/gossip"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/lending"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/store"
@@ -212,12 +213,17 @@
 	serverFailed := make(chan error, 1)
 	go func() { serverFailed <- server.Serve(running, v.config.PeerListener) }()
 	var deregistration sync.WaitGroup
-	deregistration.Go(func() { v.store.Register(registered) })
-	deregistration.Go(func() { v.failover.Campaign(registered) })
-	for _, loop := range []func(context.Context){
-		v.store.FollowConfiguration, v.store.FollowReports, v.store.FollowFleet, v.gossip.Run, v.failover.Run, v.runMaintenance,
+	deregistration.Go(func() { v.loop(registered, "registration", v.store.Register) })
+	deregistration.Go(func() { v.loop(registered, "campaign", v.failover.Campaign) })
+	for task, loop := range map[string]func(context.Context){
+		"configuration": v.store.FollowConfiguration,
+		"reports":       v.store.FollowReports,
+		"fleet":         v.store.FollowFleet,
+		"gossip":        v.gossip.Run,
+		"failover":      v.failover.Run,
+		"maintenance":   v.runMaintenance,
 	} {
-		go loop(running)
+		go v.loop(running, task, loop)
 	}
 	select {
 	case <-ctx.Done():
@@ -228,6 +234,11 @@
 	return nil
 }
 
+// loop runs a task of this VM until the context ends.
+func (v *VM) loop(ctx context.Context, task string, loop func(context.Context)) {
+	guard.Loop(ctx, v.config.Timer, v.config.Log, task, loop)
+}
+
 // leave announces that this VM takes no new work and deregisters it, so that other VMs
 // take over as homes and leader. Meanwhile its callers' open work and the transactions of
 // other VMs finish within the grace period.
