Keep a VM that only the store turns away as a home, but not as a holder of shares

Cause: since registrations are passed on without the VMs that are kept because of a recent message, a VM that the store turned away learned that it was not registered, and opened only a fifth of the connections to the endpoints whose home it still was for the others.

Change: a VM stays in its own fleet while any other VM responds to it, and each response counts as a contact, so that the VMs that use a home keep it. The limits count registered VMs only: all VMs agree on those.

--- a/engine/peer/clients.go
+++ b/engine/peer/clients.go
@@ -53,6 +53,8 @@
 	Dial  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Timer timer.Service
 	Log   logr.Logger
+	// OnResponse is called for each response of a VM; may be nil.
+	OnResponse func(vm string)
 }
 
 // Clients holds the connections from this VM to other VMs. It is safe for concurrent use.
@@ -143,6 +145,9 @@
 	for {
 		select {
 		case <-call.Done:
+			if call.Error == nil && c.config.OnResponse != nil {
+				c.config.OnResponse(vm.Name)
+			}
 			return c.callError(conn, client, call)
 		case <-pingTimer.C():
 			go c.ping(conn, client)
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -47,7 +47,9 @@
 	// lastContact holds the time of the last message from each VM, as a reading of
 	// SinceBoot.
 	lastContact map[string]time.Duration
-	vmsRevision uint64
+	// latestContact is the time of the last message from any VM.
+	latestContact time.Duration
+	vmsRevision   uint64
 	// ownRevision is the revision of this VM's own registration; 0 for none.
 	ownRevision uint64
 	// registrations holds the registrations as other VMs get them; see Registrations.
@@ -103,7 +105,7 @@
 // Endpoints returns the latest reports of the endpoints.
 func (v *View) Endpoints() *catalog.EndpointSnapshot { return v.endpoints.Load() }
 
-// VMs returns the latest registrations of the fleet.
+// VMs returns the fleet: the latest registrations, and VMs that sent a message recently.
 func (v *View) VMs() *catalog.VMSnapshot { return v.vms.Load() }
 
 // AcceptConfiguration replaces the configuration if the version is higher, and reports
@@ -263,22 +265,26 @@
 }
 
 // withRecentContacts returns the registrations and those that are missing although their VM
-// sent a message recently, because leases may expire while the store is unavailable. It also
-// adds this VM if it has registered since. The caller holds the lock.
+// sent a message recently: a VM that only the store turns away keeps its homes. This VM stays
+// as long as any other VM responds to it. It is also added if it has registered since. The
+// caller holds the lock.
 func (v *View) withRecentContacts(current, vms *catalog.VMSnapshot) *catalog.VMSnapshot {
 	now := v.config.Timer.SinceBoot()
+	self := v.config.Self
 	missing := map[string]catalog.VM{}
 	for name, vm := range current.ByName {
 		if _, ok := vms.ByName[name]; ok {
 			continue
 		}
 		contactedAt, contacted := v.lastContact[name]
+		if name == self.Name {
+			contactedAt, contacted = v.latestContact, len(v.lastContact) > 0
+		}
 		incarnation, leaving := v.leavingIncarnations[name]
 		if contacted && now-contactedAt < contactTTL && !(leaving && incarnation == vm.Incarnation) {
 			missing[name] = vm
 		}
 	}
-	self := v.config.Self
 	if _, ok := vms.ByName[self.Name]; !ok && v.ownRevision > v.vmsRevision {
 		missing[self.Name] = self
 	}
@@ -332,7 +338,8 @@
 func (v *View) RecordContact(name string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.lastContact[name] = v.config.Timer.SinceBoot()
+	v.latestContact = v.config.Timer.SinceBoot()
+	v.lastContact[name] = v.latestContact
 }
 
 // RecentContactCount returns the number of other VMs that sent a message recently.
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -168,6 +168,20 @@
 		Expect(f.VMs().ByName).NotTo(HaveKey("b"))
 	})
 
+	It("keeps itself without a registration while other VMs respond", func() {
+		// Guards against a VM that only the store turns away: others still use it as a home,
+		// but it opened only a fifth of the connections to the endpoint.
+		f.AcceptVMs(registrations(1, vm("self", "a1"), vm("b", "a2")), "test")
+		f.RecordContact("b")
+		f.AcceptVMs(registrations(2, vm("b", "a2")), "gossip")
+		Expect(f.VMs().ByName).To(HaveKey("self"))
+		registered, _ := f.Registrations()
+		Expect(registered.ByName).NotTo(HaveKey("self"), "the limits count registered VMs only")
+		f.clock.Advance(time.Minute)
+		f.AcceptVMs(registrations(3, vm("b", "a2")), "gossip")
+		Expect(f.VMs().ByName).NotTo(HaveKey("self"))
+	})
+
 	It("drops a VM that is leaving as soon as its registration is gone", func() {
 		f.AcceptVMs(registrations(1, vm("self", "a1"), vm("b", "a2")), "test")
 		f.RecordContact("b")
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -107,9 +107,10 @@
 	}
 	v.grace.Store(int64(config.Grace))
 	v.clients = peer.NewClients(peer.ClientConfig{
-		Dial:  config.DialVM,
-		Timer: config.Timer,
-		Log:   config.Log.WithName("peer"),
+		Dial:       config.DialVM,
+		Timer:      config.Timer,
+		Log:        config.Log.WithName("peer"),
+		OnResponse: func(vm string) { v.view.RecordContact(vm) },
 	})
 	v.view = view.New(view.Config{
 		Self:        config.Self,
@@ -147,7 +148,7 @@
 func (v *VM) newDependentComponents() {
 	c := v.config
 	v.limits = lending.New(lending.Config{
-		Fleet:                 v.view,
+		Fleet:                 registeredFleet{View: v.view},
 		Peers:                 v.clients,
 		Timer:                 c.Timer,
 		Log:                   c.Log.WithName("lending"),
@@ -189,6 +190,16 @@
 	})
 }
 
+// registeredFleet is the fleet for the limits: the registered VMs only. VMs agree on them,
+// whereas each VM knows by itself from which VMs it has received a message.
+type registeredFleet struct{ *view.View }
+
+// VMs returns the registrations.
+func (f registeredFleet) VMs() *catalog.VMSnapshot {
+	registrations, _ := f.Registrations()
+	return registrations
+}
+
 // Sessions returns the session manager, which opens the sessions of callers.
 func (v *VM) Sessions() *caller.SessionManager { return v.sessions }
 
