Do not send statements to a former primary whose report has changed

Cause: a VM prefers the endpoint that proved the highest term to it. The leader's announcement of a successor holds for 4 s; a VM that sent nothing to the database in that time went back to the former primary, although its report named another role. The more VMs, the fewer statements each sends to a database, so this shows in large fleets.

Change: a report that changes from primary to another role is a demotion. Shown by a test that failed first. Ruled out: stale reports (the VM had the report of the new primary).

--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -91,7 +91,8 @@
 
 // recordReport handles a new report of an endpoint. A change of the role to primary ends
 // a demotion. A repeated report of that role does not, because it may be older than the
-// rejection that caused the demotion.
+// rejection that caused the demotion. A change from primary to another role is a demotion: the
+// endpoint may have proved a term to this VM that ended since.
 func (d *database) recordReport(previous, current catalog.Endpoint) {
 	if previous.Key != current.Key {
 		delete(d.endpoints, previous.Key)
@@ -99,6 +100,9 @@
 	if current.Role == catalog.RolePrimary && (previous.Key != current.Key || previous.Role != catalog.RolePrimary) {
 		d.endpoint(current.Key).demoted = false
 	}
+	if current.Role != catalog.RolePrimary && previous.Key == current.Key && previous.Role == catalog.RolePrimary {
+		d.endpoint(current.Key).demoted = true
+	}
 }
 
 // Primary returns the endpoint that this VM takes for the primary of a database; false if
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -374,6 +374,22 @@
 		f.expectPrimary("r")
 	})
 
+	It("is not a former primary whose report has changed, on a VM that has not reached the new one", func() {
+		// Guards against a statement that is sent to an endpoint more than 10 s after it began
+		// to drain: it had proved an older term to a VM that sent nothing to the database
+		// while the leader's announcement of its successor held.
+		provePrimary(p, 1)
+		f.AcceptEndpoints(endpoints(2, endpoint("p", catalog.RoleReplica), endpoint("r", catalog.RolePrimary)), "test")
+		f.expectPrimary("r")
+	})
+
+	It("is the endpoint that proved the role after an older report of another role", func() {
+		f.AcceptEndpoints(endpoints(2, endpoint("p", catalog.RoleReplica), endpoint("r", catalog.RoleReplica)), "test")
+		provePrimary(r, 2)
+		f.AcceptEndpoints(endpoints(3, endpoint("p", catalog.RoleReplica), endpoint("r", catalog.RoleReplica)), "test")
+		f.expectPrimary("r")
+	})
+
 	It("is accepted again after the endpoint restarts", func() {
 		rejectStatement(p)
 		restarted := p
