--- a/engine/peer/peer_test.go
+++ b/engine/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -237,6 +238,19 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("go on while another connection sends malformed bytes", func() {
+		// Guards against one malformed message that takes down a home or blocks it.
+		for _, malformed := range []string{"\x00", "GET / HTTP/1.1\r\n\r\n", strings.Repeat("\xff", 1<<16), "\x07\xff\x82\x00"} {
+			connection, err := net.Dial("tcp", p.target.Address.String())
+			Expect(err).NotTo(HaveOccurred())
+			_, err = connection.Write([]byte(malformed))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(connection.Close()).To(Succeed())
+			_, err = p.run(&peer.RunRequest{Text: "READ a"}, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("fail as not sent when the VM is not listening", func() {
 		// Guards against an unknown outcome of a call that cannot have been sent.
 		Expect(p.listener.Close()).To(Succeed())
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -51,6 +51,8 @@
 	configurationReads int
 	staleReads         []bool
 	ranges             int
+	// loseNextCommit applies the next commit and loses its response.
+	loseNextCommit bool
 	// onGrant is called while a lease is granted; may be nil.
 	onGrant func()
 }
@@ -120,6 +122,10 @@
 		}
 		f.leases[w.Lease] = append(f.leases[w.Lease], w.Key)
 	}
+	if f.loseNextCommit {
+		f.loseNextCommit = false
+		return 0, store.ErrOutcomeUnknown
+	}
 	return f.revision, nil
 }
 
--- a/engine/store/sync_test.go
+++ b/engine/store/sync_test.go
@@ -289,6 +289,15 @@
 		Expect(f.fake.keys("amaranthdock/vms/")).To(ConsistOf("amaranthdock/vms/self"))
 	})
 
+	It("does not take its own registration, whose response was lost, for a kept one", func() {
+		// Guards against shares of limits that are used although other VMs hold them.
+		f := newFixture()
+		f.fake.loseNextCommit = true
+		go f.syncer.Register(f.ctx)
+		Eventually(f.syncer.Start).WithTimeout(time.Second).Should(Equal(limits.NewFleet{}))
+		Eventually(f.syncer.StoreReachable).WithTimeout(time.Second).Should(BeTrue())
+	})
+
 	It("knows whether the fleet has been running", func() {
 		// Guards against shares of limits that a process uses while others still hold them,
 		// and against a fleet that starts and refuses requests for seconds.
