Serve connections that are accepted while the last ones end

A request that had been sent to an endpoint got no answer.

Change: a VM that has drained stops accepting, and then drains what was accepted meanwhile before it ends. A connection counts from its acceptance.

One of the failures that operators of similar systems met (a planned stop under load).

--- a/engine/caller/connections.go
+++ b/engine/caller/connections.go
@@ -26,6 +26,8 @@
 	open map[Connection]struct{}
 	// closing holds the connections that must close as soon as their session is idle.
 	closing map[Connection]struct{}
+	// stopAccepting is set by OnStopAccepting; nil if no server accepts connections.
+	stopAccepting func()
 }
 
 // NewConnectionSet returns an empty set.
@@ -37,6 +39,24 @@
 	}
 }
 
+// OnStopAccepting sets the function that StopAccepting calls. It has to return only when no
+// further connection will be added.
+func (c *ConnectionSet) OnStopAccepting(stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopAccepting = stop
+}
+
+// StopAccepting makes the server accept no further connections.
+func (c *ConnectionSet) StopAccepting() {
+	c.mu.Lock()
+	stop := c.stopAccepting
+	c.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
 // Add adds a newly accepted connection.
 func (c *ConnectionSet) Add(connection Connection) {
 	c.mu.Lock()
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -38,6 +38,9 @@
 	// idleGraceShare is the fraction of the grace period over which the closing of idle
 	// sessions is spread.
 	idleGraceShare = 0.3
+	// finalDrainTime is the time over which connections are closed that were accepted while the
+	// last ones ended.
+	finalDrainTime = 200 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process ends.
 	exitMargin = 500 * time.Millisecond
 	// storeWaitAtStart is how long a VM waits for the store after its start. If the store
@@ -268,8 +271,11 @@
 	pendingWork.Go(func() { v.connections.Drain(untilExit, time.Duration(idleGraceShare*float64(grace))) })
 	pendingWork.Go(func() { v.awaitTransactions(untilTransactionsEnd) })
 	pendingWork.Wait()
-	v.connections.CloseAll()
 	deregistration.Wait()
+	// Connections that were accepted since the others ended are served, too.
+	v.connections.StopAccepting()
+	v.connections.Drain(untilExit, finalDrainTime)
+	v.connections.CloseAll()
 	v.config.Log.Info("Stopped.", "connections", v.connections.Count(), "transactions", v.home.OpenTransactions())
 }
 
