--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -136,25 +136,6 @@
 	Revision uint64
 }
 
-// Without returns the registrations except for some VMs. It returns the same snapshot if
-// there are none of them.
-func (v *VMSnapshot) Without(excluded func(VM) bool) *VMSnapshot {
-	remaining := make(map[string]VM, len(v.ByName))
-	for name, vm := range v.ByName {
-		if !excluded(vm) {
-			remaining[name] = vm
-		}
-	}
-	if len(remaining) == len(v.ByName) {
-		return v
-	}
-	return &VMSnapshot{
-		Revision: v.Revision,
-		ByName:   remaining,
-		Leader:   v.Leader,
-	}
-}
-
 // Same reports whether two registrations differ in their revisions at most.
 func (v VM) Same(other VM) bool {
 	v.Revision = other.Revision
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -49,9 +49,6 @@
 	Self() catalog.VM
 	VMs() *catalog.VMSnapshot
 	Configuration() *catalog.Configuration
-	// IsLeaving reports whether this incarnation of a VM is leaving the fleet. It has given up
-	// its shares then.
-	IsLeaving(vm catalog.VM) bool
 }
 
 // PeerCaller calls other VMs to borrow tokens from them.
@@ -265,7 +262,6 @@
 	if w.fleet != fleet || w.limit != limit || w.unregistered != unregistered || w.start != start {
 		change := shareChange{
 			fleet:   w.fleet != fleet,
-			givenUp: l.isGivenUp(w.fleet, fleet),
 			lowered: w.limit.Rate > limit.Rate,
 		}
 		w.unregistered = unregistered
@@ -286,30 +282,10 @@
 // shareChange is what changed before a share is assigned.
 type shareChange struct {
 	fleet bool
-	// givenUp is set if the VMs that are no longer in the fleet gave up their shares.
-	givenUp bool
 	// lowered is set if the rate of the limit was lowered.
 	lowered bool
 }
 
-// isGivenUp reports whether a change of the fleet only removed VMs that are leaving.
-func (l *Limiter) isGivenUp(before, after *catalog.VMSnapshot) bool {
-	if before == nil || before == after || len(after.ByName) >= len(before.ByName) {
-		return false
-	}
-	for name, vm := range before.ByName {
-		if _, ok := after.ByName[name]; !ok && !l.config.Fleet.IsLeaving(vm) {
-			return false
-		}
-	}
-	for name := range after.ByName {
-		if _, ok := before.ByName[name]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
 // assignShare assigns this VM's share of a changed limit or in a changed fleet, and resizes
 // the bucket.
 func (l *Limiter) assignShare(name string, w *workspaceState, now time.Time, change shareChange) {
@@ -323,8 +299,6 @@
 	switch {
 	case resumes, w.unregistered > 0:
 		w.holding.Resume(share)
-	case change.givenUp && !w.holding.Pending():
-		w.holding.Resume(share)
 	case change.lowered && !change.fleet && !w.holding.Pending():
 		// A lower limit has fewer holders. It binds once all VMs know it, and then the
 		// other holders have no share any more.
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -54,9 +54,6 @@
 	ownRevision uint64
 	// registrations holds the registrations as other VMs get them; see Registrations.
 	registrations atomic.Pointer[catalog.VMSnapshot]
-	// holders caches Holders for the registrations holdersOf; nil if it has to be derived.
-	holders   *catalog.VMSnapshot
-	holdersOf *catalog.VMSnapshot
 	// deletedAt holds the revision at which a registration was found to be deleted, for
 	// all that were deleted after deletionsKnownFrom.
 	deletedAt          map[string]uint64
@@ -310,22 +307,6 @@
 	return v.registrations.Load(), v.vmsRevision
 }
 
-// Holders returns the registered VMs that are not leaving. Among them the shares of limits
-// are divided, because a VM that leaves gives its shares up.
-func (v *View) Holders() *catalog.VMSnapshot {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	vms := v.registrations.Load()
-	if v.holders != nil && v.holdersOf == vms {
-		return v.holders
-	}
-	v.holders, v.holdersOf = vms.Without(func(vm catalog.VM) bool {
-		incarnation, leaving := v.leavingIncarnations[vm.Name]
-		return leaving && incarnation == vm.Incarnation
-	}), vms
-	return v.holders
-}
-
 // RegistrationsSince returns the changes of the registrations after a revision; false if
 // this VM does not know all of them.
 func (v *View) RegistrationsSince(revision uint64) (*catalog.VMDelta, bool) {
@@ -390,7 +371,6 @@
 	if leaving == (ok && knownIncarnation == incarnation) {
 		return
 	}
-	v.holders = nil
 	if leaving {
 		v.leavingIncarnations[vm] = incarnation
 	} else {
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -151,10 +151,7 @@
 func (v *VM) newDependentComponents() {
 	c := v.config
 	v.limits = lending.New(lending.Config{
-		Fleet: &limitsFleet{
-			View:    v.view,
-			leaving: &v.leaving,
-		},
+		Fleet:                 registeredFleet{View: v.view},
 		Peers:                 v.clients,
 		Timer:                 c.Timer,
 		Log:                   c.Log.WithName("lending"),
@@ -196,30 +193,14 @@
 	})
 }
 
-// limitsFleet is the fleet among which the shares of limits are divided: the registered VMs
-// that are not leaving. VMs agree on them, whereas each VM knows by itself from which VMs it
-// has received a message.
-type limitsFleet struct {
-	*view.View
-	leaving *atomic.Bool
+// registeredFleet is the fleet for the limits: the registered VMs only. VMs agree on them,
+// whereas each VM knows by itself from which VMs it has received a message.
+type registeredFleet struct{ *view.View }
 
-	mu sync.Mutex
-	// withoutSelf caches the fleet without this VM, which is leaving, for the fleet of.
-	withoutSelf, of *catalog.VMSnapshot
-}
-
-// VMs returns the registered VMs that are not leaving.
-func (f *limitsFleet) VMs() *catalog.VMSnapshot {
-	holders := f.Holders()
-	if !f.leaving.Load() {
-		return holders
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.of != holders {
-		f.withoutSelf, f.of = holders.Without(func(vm catalog.VM) bool { return vm.Name == f.Self().Name }), holders
-	}
-	return f.withoutSelf
+// VMs returns the registrations.
+func (f registeredFleet) VMs() *catalog.VMSnapshot {
+	registrations, _ := f.Registrations()
+	return registrations
 }
 
 // Sessions returns the session manager, which opens the sessions of callers.
