Believe only recent data about a registration that was kept

Found by reading: a VM that has been cut off from the store still knows registrations that have ended. If it is the first one that a restarted process asks, the process would use its shares of limits although other VMs hold them.

Shown by a test that failed first.

--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"amaranthdock.dev/decision/confsync"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
@@ -309,7 +310,7 @@
 		Age:            s.config.Store.DataAge(),
 		ConfigRevision: s.config.Store.ConfigurationRevision(),
 	}
-	if registrations, _ := v.Registrations(); response.Settled {
+	if registrations, _ := v.Registrations(); response.Settled && response.Age <= confsync.MaxUpdateAge {
 		known, ok := registrations.ByName[request.From.Name]
 		response.KnowsPredecessor = ok && known.Incarnation != request.From.Incarnation
 	}
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -309,11 +309,28 @@
 					ByName:   map[string]catalog.VM{"starting": earlier},
 				}, "test")
 			}
+			running.contact.age = time.Second
 			starting := startVM("starting", running.view.Self().Address)
 			starting.runGossip()
 			Eventually(starting.contact.predecessorKnown).WithTimeout(2 * time.Second).Should(HaveValue(Equal(registered)))
 		})
 	}
+
+	It("does not learn that from a VM whose data is old", func() {
+		// Guards against shares that are used twice because a VM that has been cut off still
+		// knows a registration that has ended.
+		partitioned := startVM("partitioned").withData(7, 40)
+		partitioned.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 50,
+			ByName:   map[string]catalog.VM{"starting": {Name: "starting"}},
+		}, "test")
+		partitioned.contact.age = 3 * time.Second
+		response := partitioned.News(&peer.GossipRequest{From: catalog.VM{
+			Name:        "starting",
+			Incarnation: 5,
+		}})
+		Expect(response.KnowsPredecessor).To(BeFalse())
+	})
 })
 
 var _ = Describe("a VM whose registrations differ from those of the responding VM", func() {
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -67,8 +67,8 @@
 	Log      logr.Logger
 	Registry metrics.Registry
 	// Tolerance is the fraction of a limit by which the fleet may exceed it in any time
-	// window of length Window. It is used only for restarts: a
-	// process does not know what its predecessor has admitted.
+	// window of length Window. It is used only for restarts: a process does not know what
+	// its predecessor has admitted.
 	Tolerance float64
 	Window    time.Duration
 	// UnregisteredFleetSize returns the number of VMs that this VM knows of, including
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -171,8 +171,8 @@
 	Leaving bool
 	// Settled means that the responding VM knows the whole fleet.
 	Settled bool
-	// KnowsPredecessor means that the responding VM knows a registration of an earlier
-	// process of the requesting VM.
+	// KnowsPredecessor means that, according to recent data of the responding VM, an earlier
+	// process of the requesting VM is registered.
 	KnowsPredecessor bool
 	// Age is the time since the store confirmed the data of the responding VM.
 	Age time.Duration
