Use one order of ranked VMs and one cache of digests

Cause, found by reading the whole change: routing.First compared scores and names as Rank and the home's search already did, in three versions of one rule on which all VMs have to agree; and gossip kept the digest of the endpoints and that of the registrations in two copies of one cache.

Change: ranksBefore, which the three use, and digestCache. A field of a request is set in its literal, a comment is wrapped. No change of behaviour.

Ruled out: joining awaitFleet and awaitOwnRegistration of engine/store, which wait for different things with different limits. Left as they are: the literals and input types that look alike.

Checked: linters and the tests of decision/routing, engine/gossip, engine/lending, engine/view, platform and proxy/lending pass.

--- a/decision/routing/vm.go
+++ b/decision/routing/vm.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		s := rankScore(key, v.Name)
-		if best == nil || s > score || (s == score && v.Name < best.Name) {
+		if best == nil || ranksBefore(s, v.Name, score, best.Name) {
 			best, score = v, s
 		}
 	}
@@ -62,7 +62,6 @@
 		name  string
 		score uint64
 	}
-	before := func(a, b scored) bool { return a.score > b.score || (a.score == b.score && a.name < b.name) }
 	best := make([]scored, 0, count)
 	for name := range names {
 		candidate := scored{
@@ -70,7 +69,7 @@
 			score: rankScore(key, name),
 		}
 		i := len(best)
-		for i > 0 && before(candidate, best[i-1]) {
+		for i > 0 && ranksBefore(candidate.score, candidate.name, best[i-1].score, best[i-1].name) {
 			i--
 		}
 		if i == count {
@@ -88,6 +87,11 @@
 	return first
 }
 
+// ranksBefore reports whether one VM ranks before another one with these scores.
+func ranksBefore(score uint64, name string, otherScore uint64, otherName string) bool {
+	return score > otherScore || (score == otherScore && name < otherName)
+}
+
 // rankScore returns the score of a VM in the ranking for a key. The digest is a local
 // value, so that it is not allocated on the heap.
 func rankScore(key, name string) uint64 {
@@ -116,16 +120,10 @@
 		})
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		case a.vm.Name < b.vm.Name:
+		if ranksBefore(a.score, a.vm.Name, b.score, b.vm.Name) {
 			return -1
-		default:
-			return 1
 		}
+		return 1
 	})
 	ranked := make([]VM, 0, len(scores))
 	for _, s := range scores {
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -97,18 +97,34 @@
 	// deltaFailed is set if changes to the registrations could not be applied.
 	deltaFailed atomic.Bool
 
-	mu sync.Mutex
-	// endpointsDigest caches the digest of digestedEndpoints.
-	digestedEndpoints *catalog.EndpointSnapshot
-	endpointsDigest   uint64
-	// vmsDigest caches the digest of digestedVMs.
-	digestedVMs *catalog.VMSnapshot
-	vmsDigest   uint64
+	mu              sync.Mutex
+	endpointsDigest digestCache[*catalog.EndpointSnapshot]
+	vmsDigest       digestCache[*catalog.VMSnapshot]
 	// rankedNeighbours caches the neighbours in neighbourFleet.
 	neighbourFleet   *catalog.VMSnapshot
 	rankedNeighbours []catalog.VM
 }
 
+// snapshot is data of the store that is identified by its pointer and has a digest.
+type snapshot interface {
+	comparable
+	Digest() uint64
+}
+
+// digestCache holds the digest of the latest snapshot.
+type digestCache[S snapshot] struct {
+	of     S
+	digest uint64
+}
+
+// get returns the digest of a snapshot and computes it if the snapshot is another one.
+func (c *digestCache[S]) get(current S) uint64 {
+	if c.of != current {
+		c.of, c.digest = current, current.Digest()
+	}
+	return c.digest
+}
+
 // New returns a Service. Start it with Run.
 func New(config Config) *Service {
 	s := &Service{config: config}
@@ -237,15 +253,15 @@
 func (s *Service) exchange(ctx context.Context, vm catalog.VM) (peer.GossipResponse, bool) {
 	v := s.config.View
 	request := &peer.GossipRequest{
-		From:      v.Self(),
-		FarConfig: s.config.Store.SinceLastUpdate() >= crossRegionDelay && len(s.config.Store.Readers()) == 0,
-		Leaving:   s.leaving.Load(),
-		Endpoints: s.knownEndpoints(),
-		VMs:       s.knownVMs(),
-		Deltas:    true,
-		Settled:   s.config.Store.FleetSettled(),
+		From:       v.Self(),
+		WholeFleet: s.deltaFailed.Load(),
+		FarConfig:  s.config.Store.SinceLastUpdate() >= crossRegionDelay && len(s.config.Store.Readers()) == 0,
+		Leaving:    s.leaving.Load(),
+		Endpoints:  s.knownEndpoints(),
+		VMs:        s.knownVMs(),
+		Deltas:     true,
+		Settled:    s.config.Store.FleetSettled(),
 	}
-	request.WholeFleet = s.deltaFailed.Load()
 	if c := v.Configuration(); c != nil {
 		request.ConfigVersion = c.Version
 	}
@@ -361,13 +377,9 @@
 	current := s.config.View.Endpoints()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.digestedEndpoints != current {
-		s.digestedEndpoints = current
-		s.endpointsDigest = current.Digest()
-	}
 	return peer.KnownRevision{
 		Revision: current.Revision,
-		Digest:   s.endpointsDigest,
+		Digest:   s.endpointsDigest.get(current),
 	}
 }
 
@@ -376,12 +388,8 @@
 	current, revision := s.config.View.Registrations()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.digestedVMs != current {
-		s.digestedVMs = current
-		s.vmsDigest = current.Digest()
-	}
 	return peer.KnownRevision{
 		Revision: revision,
-		Digest:   s.vmsDigest,
+		Digest:   s.vmsDigest.get(current),
 	}
 }
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -57,9 +57,9 @@
 // nanoseconds; its clock advances while the VM is suspended.
 type Syncer struct {
 	config Config
-	// lastContact is when the last call was sent to which the store responded; failingSince is the time of
-	// the first failed call after it, or 0; healthySince is the time since which no call
-	// except for watches has failed, or 0.
+	// lastContact is when the last call was sent to which the store responded; failingSince
+	// is the time of the first failed call after it, or 0; healthySince is the time since
+	// which no call except for watches has failed, or 0.
 	lastContact  atomic.Int64
 	failingSince atomic.Int64
 	healthySince atomic.Int64
