--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -20,6 +20,8 @@
 	graceSeconds = 6
 	configApply  = 4 * time.Second
 	startLimit   = 20 * time.Second
+	// databaseCount is the number of databases, each with one member a zone.
+	databaseCount = 3
 )
 
 // vm is one process of the project's program.
@@ -35,13 +37,15 @@
 
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
-	record   *record
-	folder   string
-	store    *store
-	database *database
-	vms      []*vm
-	version  int
-	server   *http.Server
+	record *record
+	folder string
+	store  *store
+	// databases are those of the deployment; the cases use the first one, database.
+	databases []*database
+	database  *database
+	vms       []*vm
+	version   int
+	server    *http.Server
 }
 
 // zones maps the zones of the deployment to their regions.
@@ -64,14 +68,21 @@
 	for _, z := range zones {
 		names = append(names, z.name)
 	}
-	if f.database, err = newDatabase("ledger", names, f.store, r); err != nil {
-		return f, err
+	for i := range databaseCount {
+		d, err := newDatabase(fmt.Sprintf("ledger%d", i+1), names, f.store, r)
+		if err != nil {
+			return f, err
+		}
+		f.databases = append(f.databases, d)
 	}
+	f.database = f.databases[0]
 	f.store.promote = func(service, id string) int {
-		if service != f.database.service {
-			return http.StatusConflict
+		for _, d := range f.databases {
+			if d.service == service {
+				return d.promote(id)
+			}
 		}
-		return f.database.promote(id)
+		return http.StatusConflict
 	}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -115,26 +126,33 @@
 			"name": t.name, "api_keys": t.keys, "priority": 1, "rate_per_s": 126, "burst": 126,
 		})
 	}
-	route := func(name, host, kind string, timeout, staleness int) map[string]any {
+	var routes, services []map[string]any
+	route := func(d *database, suffix, host, kind string, timeout, staleness int) {
 		r := map[string]any{
-			"name": name, "host": host, "prefix": "/", "route_type": kind, "timeout_ms": timeout, "target_latency_ms": 1000,
-			"priority": 1, "service": f.database.service, "max_attempts": 2, "public": false,
+			"name": "r-" + host + suffix, "host": host + suffix, "prefix": "/", "route_type": kind, "timeout_ms": timeout, "target_latency_ms": 1000,
+			"priority": 1, "service": d.service, "max_attempts": 2, "public": false,
 		}
 		if staleness > 0 {
 			r["max_staleness_ms"] = staleness
 		}
-		return r
+		routes = append(routes, r)
+	}
+	for i, d := range f.databases {
+		suffix := ""
+		if i > 0 {
+			suffix = fmt.Sprintf("-%d", i+1)
+		}
+		route(d, suffix, "strict", "primary", 1000, 0)
+		route(d, suffix, "bounded", "bounded_staleness", 3000, 1500)
+		route(d, suffix, "own", "read_your_writes", 1000, 2500)
+		services = append(services, map[string]any{
+			"name": d.service, "health_path": "/health", "max_connections": maxConnections, "protocol": "h1", "tls": false, "sync_replicas": 0,
+		})
 	}
 	acknowledged := f.store.set("op/config", map[string]any{
-		"version": f.version,
-		"routes": []map[string]any{
-			route("r-1", "strict", "primary", 1000, 0),
-			route("r-2", "bounded", "bounded_staleness", 3000, 1500),
-			route("r-3", "own", "read_your_writes", 1000, 2500),
-		},
-		"services": []map[string]any{{
-			"name": f.database.service, "health_path": "/health", "max_connections": maxConnections, "protocol": "h1", "tls": false, "sync_replicas": 0,
-		}},
+		"version":  f.version,
+		"routes":   routes,
+		"services": services,
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000,
 		},
