--- a/review/rig/member.go
+++ b/review/rig/member.go
@@ -61,6 +61,8 @@
 	primary  *member
 	members  []*member
 	executed []execution
+	// received holds the ids of the queries that reached a member.
+	received map[string]bool
 	macs     map[string]string
 	// work returns how long a statement takes; nil for defaultWork.
 	work func(text string) time.Duration
@@ -86,7 +88,7 @@
 }
 
 func newDatabase(service string, zones []string, s *store, r *record) (*database, error) {
-	d := &database{service: service, store: s, record: r, term: 1, macs: map[string]string{}}
+	d := &database{service: service, store: s, record: r, term: 1, received: map[string]bool{}, macs: map[string]string{}}
 	for i, zone := range zones {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -170,6 +172,16 @@
 	return http.StatusConflict
 }
 
+// reached reports whether a query has reached a member, and whether it ran there.
+func (d *database) reached(id string) (received, ran bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.executed {
+		ran = ran || e.id == id
+	}
+	return d.received[id], ran
+}
+
 // commit appends the values to the primary's log and sends them to the replicas. The caller
 // holds the database's lock.
 func (d *database) commit(values map[string]string) {
@@ -259,6 +271,10 @@
 		if parts[0] != "QUERY" || len(parts) < 3 {
 			return
 		}
+		m.database.mu.Lock()
+		m.database.received[parts[1]] = true
+		m.database.mu.Unlock()
+		m.database.record.printf("%s connection %d (%s): received %s %s", m.id, s.number, s.tenant, parts[1], parts[2])
 		response := s.run(parts[1], parts[2])
 		m.database.mu.Lock()
 		end := m.end()
@@ -447,6 +463,8 @@
 	return "COMPLETE " + mac + "\r\n"
 }
 
+// commit commits the transaction. Once it has received COMMIT, the member carries it out also
+// if the connection ends meanwhile.
 func (s *session) commit(id, text string) string {
 	m, d := s.member, s.member.database
 	if s.state == "I" {
