Reserve a block of ports for each run of the review's scripts

One of 40 runs could not start (case 1 with TROUBLE=0, exit 2): two scripts that ran at the same time had taken the same port, and a process could not listen.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -224,36 +224,52 @@
 }
 
 // The ports of the processes lie below the range from which the kernel takes the local ports
-// of connections, so that none of these occupies one before its process listens there.
+// of connections. A run reserves a block of them by listening at its first port, so that runs
+// at the same time use different ones.
 const (
 	firstPort = 15000
 	lastPort  = 30000
+	blockSize = 100
 )
 
-// usedPorts holds the ports that were handed out.
-var usedPorts = map[int]bool{}
+// nextPort is the next port of the reserved block; 0 before it is reserved. blockListener holds
+// the reservation: without a reference to it, it would be closed.
+var (
+	nextPort      int
+	blockListener net.Listener
+)
+
+// reserveBlock reserves a block of ports until the program ends.
+func reserveBlock() {
+	for {
+		first := firstPort + blockSize*rand.IntN((lastPort-firstPort)/blockSize)
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			nextPort, blockListener = first+1, listener
+			return
+		}
+	}
+}
 
 // freePorts returns the first of some free ports in a row.
 func freePorts(count int) int {
+	if nextPort == 0 {
+		reserveBlock()
+	}
 	for {
-		first := firstPort + rand.IntN(lastPort-firstPort)
-		free := true
+		first, free := nextPort, true
+		nextPort += count
 		for port := first; port < first+count; port++ {
 			listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
-			if err != nil || usedPorts[port] {
+			if err != nil {
 				free = false
+				continue
 			}
-			if err == nil {
-				listener.Close()
-			}
+			listener.Close()
 		}
-		if !free {
-			continue
-		}
-		for port := first; port < first+count; port++ {
-			usedPorts[port] = true
+		if free {
+			return first
 		}
-		return first
 	}
 }
 
