End the work of a VM that leaves in the middle of its grace period

Callers saw: after SIGTERM, statements of open transactions were answered until 5.5 s of the grace period of 6 s. A session that sends without a pause lost its last request in the same way, since its connection never had the pause in which it could be closed.

Cause: leave limited only the transactions of which the VM was the home. Sessions of callers accepted each statement until their connections were closed, whether or not it could end in time. Nothing answered the statements that still ran then, and a home did not wait for single statements of others.

Change: after half of the grace period sessions refuse new work as not run, and open transactions are rolled back at once, those of other VMs at this home too; their callers learn it with the next response. Statements that run 0.7 s before the end of the grace are ended and get a final response: in doubt for writes and commits that were sent. Then connections close. The home waits for its running statements. An idle connection is interrupted again when work ends, so a reset of the read deadline comes before the state is checked.

Ruled out: capping each statement's timeout by the time that is left. It does not help statements that began before SIGTERM, and refuses first-half work that can end. Accepting commits for longer than other statements: the transaction has the first half to end, and a later commit may be cut.

--- a/engine/caller/connections.go
+++ b/engine/caller/connections.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,8 +12,8 @@
 
 // Connection is the open connection of one caller.
 type Connection interface {
-	// Interrupt wakes the connection if it is waiting for the caller's next request,
-	// so that it checks whether it has to close because its VM shuts down.
+	// Interrupt wakes the connection if it is waiting for the caller's next request, so that
+	// it checks whether it has to close or to end its transaction because its VM shuts down.
 	Interrupt()
 	// Close closes the connection immediately.
 	Close()
@@ -26,19 +28,34 @@
 	open map[Connection]struct{}
 	// closing holds the connections that must close as soon as their session is idle.
 	closing map[Connection]struct{}
+	// closeIdle is set by CloseIdle.
+	closeIdle bool
 	// stopAccepting is set by OnStopAccepting; nil if no server accepts connections.
 	stopAccepting func()
+
+	statements    context.Context
+	endStatements context.CancelFunc
 }
 
 // NewConnectionSet returns an empty set.
 func NewConnectionSet(service timer.Service) *ConnectionSet {
-	return &ConnectionSet{
+	c := &ConnectionSet{
 		timer:   service,
 		open:    map[Connection]struct{}{},
 		closing: map[Connection]struct{}{},
 	}
+	c.statements, c.endStatements = context.WithCancel(context.Background())
+	return c
 }
 
+// StatementContext returns the context of all statements of the connections. It ends with
+// EndStatements.
+func (c *ConnectionSet) StatementContext() context.Context { return c.statements }
+
+// EndStatements ends the statements that still run, so that their callers get a final
+// response before their connections close.
+func (c *ConnectionSet) EndStatements() { c.endStatements() }
+
 // OnStopAccepting sets the function that StopAccepting calls. It has to return only when no
 // further connection will be added.
 func (c *ConnectionSet) OnStopAccepting(stop func()) {
@@ -77,7 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, closing := c.closing[connection]
-	return closing
+	return closing || c.closeIdle
 }
 
 // Count returns the number of open connections.
@@ -94,23 +111,14 @@
 // Drain closes the connections in batches spread over the given time, each one once its
 // session is idle. It returns when none is open or the context ends.
 func (c *ConnectionSet) Drain(ctx context.Context, over time.Duration) {
-	c.mu.Lock()
-	remaining := make([]Connection, 0, len(c.open))
-	for connection := range c.open {
-		remaining = append(remaining, connection)
-	}
-	c.mu.Unlock()
+	remaining := c.all()
 	size := max((len(remaining)+drainBatches-1)/drainBatches, 1)
 	for c.Count() > 0 && ctx.Err() == nil {
 		batch := remaining[:min(size, len(remaining))]
 		remaining = remaining[len(batch):]
 		if len(batch) == 0 {
 			// Drain the connections that were accepted since the start.
-			c.mu.Lock()
-			for connection := range c.open {
-				batch = append(batch, connection)
-			}
-			c.mu.Unlock()
+			batch = c.all()
 		}
 		c.closeWhenIdle(batch)
 		if err := timer.Sleep(ctx, c.timer, over/drainBatches); err != nil {
@@ -119,29 +127,44 @@
 	}
 }
 
-// closeWhenIdle marks the connections for closing and wakes those that are idle.
+// CloseIdle makes each connection, also those that are added later, close as soon as its
+// session is idle, and wakes all of them.
+func (c *ConnectionSet) CloseIdle() {
+	c.mu.Lock()
+	c.closeIdle = true
+	c.mu.Unlock()
+	for _, connection := range c.all() {
+		connection.Interrupt()
+	}
+}
+
+// closeWhenIdle marks the connections for closing and wakes those that were not marked.
 func (c *ConnectionSet) closeWhenIdle(batch []Connection) {
+	var marked []Connection
 	c.mu.Lock()
 	for _, connection := range batch {
-		if _, ok := c.open[connection]; ok {
+		_, open := c.open[connection]
+		if _, closing := c.closing[connection]; open && !closing {
 			c.closing[connection] = struct{}{}
+			marked = append(marked, connection)
 		}
 	}
 	c.mu.Unlock()
-	for _, connection := range batch {
+	for _, connection := range marked {
 		connection.Interrupt()
 	}
 }
 
+// all returns the open connections.
+func (c *ConnectionSet) all() []Connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.open))
+}
+
 // CloseAll closes all connections that are still open.
 func (c *ConnectionSet) CloseAll() {
-	c.mu.Lock()
-	open := make([]Connection, 0, len(c.open))
-	for connection := range c.open {
-		open = append(open, connection)
-	}
-	c.mu.Unlock()
-	for _, connection := range open {
+	for _, connection := range c.all() {
 		connection.Close()
 	}
 }
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -234,7 +234,7 @@
 	for _, home := range d.session.manager.config.View.Homes(target, maxHomesPerEndpoint) {
 		d.request.Endpoint = target.Key.ID
 		d.request.Timeout = d.remaining()
-		if d.request.Timeout < minSendTimeout {
+		if d.request.Timeout < minSendTimeout || ctx.Err() != nil {
 			break
 		}
 		result, err := d.session.manager.callHome(ctx, home, d.request)
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -68,6 +68,8 @@
 	lastTransaction atomic.Uint64
 	// ready is set once this VM has a configuration and has joined the fleet.
 	ready atomic.Bool
+	// stopped is set by StopWork.
+	stopped atomic.Bool
 }
 
 // New returns a SessionManager.
@@ -104,7 +106,10 @@
 	readOnly bool
 	failed   bool
 	// opened is set once the transaction is open at an endpoint.
-	opened    bool
+	opened bool
+	// ended is the refusal of the next request of a transaction that the proxy rolled back;
+	// nil while the transaction is open.
+	ended     *refusal.Error
 	key       peer.TransactionKey
 	endpoint  catalog.Endpoint
 	home      catalog.VM
@@ -168,9 +173,37 @@
 	}
 }
 
+// StopWork makes all sessions refuse requests that need an endpoint, because this VM ends
+// soon: a statement that starts now might not get its response in time. Statements that
+// already run are not affected.
+func (s *SessionManager) StopWork() { s.stopped.Store(true) }
+
+// stoppedRefusal returns the refusal of a request after StopWork.
+func stoppedRefusal(reason refusal.Reason) *refusal.Error {
+	return refusal.NewNotRun(reason, "this VM is stopping; connect again")
+}
+
 // InTransaction reports whether the caller has a transaction open.
 func (s *Session) InTransaction() bool { return s.transaction != nil }
 
+// EndTransactionIfStopped rolls the open transaction back after StopWork. The next request
+// of the session gets the refusal.
+func (s *Session) EndTransactionIfStopped() {
+	if t := s.transaction; t != nil && !t.failed && t.ended == nil && s.manager.stopped.Load() {
+		s.endTransaction(stoppedRefusal(refusal.TransactionConflict))
+	}
+}
+
+// endTransaction rolls the open transaction back at its endpoint. The caller has not asked
+// for it, so that its next request gets the refusal.
+func (s *Session) endTransaction(refused *refusal.Error) {
+	t := s.transaction
+	s.rollBackInBackground()
+	t.opened = false
+	t.ended = refused
+	s.transaction = t
+}
+
 // Close ends the session and rolls back its transaction.
 func (s *Session) Close() {
 	if s.transaction != nil {
@@ -181,9 +214,13 @@
 // Do runs a request and returns the complete response.
 func (s *Session) Do(ctx context.Context, request statement.Request) statement.Response {
 	s.lastAttempt = attempt{}
+	s.EndTransactionIfStopped()
 	if t := s.transaction; t != nil && t.failed {
 		return s.doInFailedTransaction(request)
 	}
+	if t := s.transaction; t != nil && t.ended != nil {
+		return s.doInEndedTransaction(request)
+	}
 	switch st := request.Statement.(type) {
 	case statement.Begin:
 		return s.begin(st)
@@ -281,6 +318,20 @@
 	}
 }
 
+// doInEndedTransaction handles the first request after the proxy has rolled the transaction
+// back.
+func (s *Session) doInEndedTransaction(request statement.Request) statement.Response {
+	t := s.transaction
+	switch request.Statement.(type) {
+	case statement.Rollback:
+		s.transaction = nil
+		return s.respond(statement.Response{})
+	case statement.Commit:
+		s.transaction = nil
+	}
+	return s.finishRefused(request, t.auth, t.ended, s.manager.config.Timer.Now())
+}
+
 // respond sets the session's state in a response.
 func (s *Session) respond(response statement.Response) statement.Response {
 	switch {
@@ -317,8 +368,12 @@
 // routes.
 const publicWorkspace = "-"
 
-// authorize looks the session's host and key up in the newest configuration.
+// authorize looks the session's host and key up in the newest configuration. It refuses all
+// sessions after StopWork.
 func (s *Session) authorize() (authorization, *refusal.Error) {
+	if s.manager.stopped.Load() {
+		return authorization{}, stoppedRefusal(refusal.NotReady)
+	}
 	c := s.manager.config.View.Configuration()
 	if c == nil {
 		return authorization{}, refusal.NewNotRun(refusal.NotReady, "this VM has no configuration yet")
--- a/engine/caller/session_test.go
+++ b/engine/caller/session_test.go
@@ -246,3 +246,42 @@
 		expectServed(do(s, statement.Commit{}, "COMMIT"), statement.Idle)
 	})
 })
+
+var _ = Describe("a session after the end of work", func() {
+	var f *fixture
+
+	BeforeEach(func() { f = newFixture().start() })
+
+	It("refuses what needs an endpoint", func() {
+		// Guards against work that starts shortly before the process ends.
+		s := f.open("strict")
+		f.sessions.StopWork()
+		expectRefused(do(s, statement.Write{}, "WRITE a b"), refusal.NotRun, refusal.NotReady, statement.Idle)
+		expectRefused(do(s, statement.Begin{}, "BEGIN"), refusal.NotRun, refusal.NotReady, statement.Idle)
+		_, refused := f.sessions.Open(context.Background(), "strict", "key")
+		Expect(refused).To(HaveField("Reason", refusal.NotReady))
+		Expect(f.fleet.steps()).To(BeEmpty())
+	})
+
+	DescribeTable("has no transaction any more",
+		// Guards against a transaction that goes on when its commit cannot be answered any
+		// more, and against a wrong state of its session.
+		func(st statement.Statement, state statement.State, served bool) {
+			s := f.open("strict")
+			do(s, statement.Begin{}, "BEGIN")
+			expectServed(do(s, statement.Write{}, "WRITE a b"), statement.InTransaction)
+			f.sessions.StopWork()
+			s.EndTransactionIfStopped()
+			Eventually(func() peer.Step { return f.fleet.lastRun().Step }).Should(Equal(peer.StepRollback))
+			if response := do(s, st, ""); served {
+				expectServed(response, state)
+			} else {
+				expectRefused(response, refusal.NotRun, refusal.TransactionConflict, state)
+			}
+			Expect(f.fleet.steps()).To(Equal([]string{"p WRITE a b", "p "}))
+		},
+		Entry("for a commit", statement.Commit{}, statement.Idle, false),
+		Entry("for a statement", statement.Read{}, statement.InFailedTransaction, false),
+		Entry("for a rollback", statement.Rollback{}, statement.Idle, true),
+	)
+})
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -51,6 +51,8 @@
 	waiters  map[uint64]chan error
 	nextItem uint64
 	idle     []*pooledConnection
+	// inUse holds the connections of running statements and open transactions.
+	inUse map[*pooledConnection]struct{}
 	// open is the number of connections, including those that are being dialed; limit is
 	// how many this home may open.
 	open                 int
@@ -85,6 +87,7 @@
 			InitialServiceTime: initialServiceTime,
 		}),
 		waiters: map[uint64]chan error{},
+		inUse:   map[*pooledConnection]struct{}{},
 	}
 }
 
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -68,7 +68,10 @@
 	}
 	f.open++
 	f.log = append(f.log, "start "+workspace)
-	return &fakeConnection{fake: f}, nil
+	return &fakeConnection{
+		fake:  f,
+		ended: make(chan struct{}),
+	}, nil
 }
 
 func (f *fakeEndpoint) commands() []string {
@@ -87,6 +90,8 @@
 	fake   *fakeEndpoint
 	state  statement.State
 	closed bool
+	// ended is closed with the connection.
+	ended chan struct{}
 }
 
 func (c *fakeConnection) Broken() bool {
@@ -100,6 +105,7 @@
 	defer c.fake.mu.Unlock()
 	if !c.closed {
 		c.closed = true
+		close(c.ended)
 		c.fake.open--
 		c.fake.log = append(c.fake.log, "close")
 	}
@@ -114,7 +120,11 @@
 		respond, holdReads := c.fake.respond, c.fake.holdReads
 		c.fake.mu.Unlock()
 		if holdReads != nil && strings.HasPrefix(text, "READ") {
-			<-holdReads
+			select {
+			case <-holdReads:
+			case <-c.ended:
+				return replies, errConnectionLost
+			}
 		}
 		reply := endpoint.Reply{
 			Signature: "signed",
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,6 +14,7 @@
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/timer"
 )
@@ -53,6 +57,8 @@
 // the transactions that are open on them. It is safe for concurrent use.
 type Home struct {
 	config Config
+	// running is the number of calls of Run that have not returned.
+	running atomic.Int64
 
 	mu           sync.Mutex
 	clients      map[catalog.EndpointKey]*endpointClient
@@ -76,6 +82,8 @@
 // Run runs a statement at its endpoint. It never returns nil.
 func (h *Home) Run(ctx context.Context, request *peer.RunRequest) *peer.RunResponse {
 	h.config.Metrics.statements.Inc(1)
+	h.running.Add(1)
+	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
@@ -238,6 +246,43 @@
 	return len(h.transactions)
 }
 
+// idleCheckInterval is how often AwaitIdle looks for running statements and transactions.
+const idleCheckInterval = 20 * time.Millisecond
+
+// AwaitIdle waits until no statement runs and no transaction is open, or the context ends.
+func (h *Home) AwaitIdle(ctx context.Context) {
+	for h.running.Load() > 0 || h.OpenTransactions() > 0 {
+		if err := timer.Sleep(ctx, h.config.Timer, idleCheckInterval); err != nil {
+			return
+		}
+	}
+}
+
+// EndTransactions rolls back all open transactions, each once its running step has ended. The
+// further steps of their callers are refused.
+func (h *Home) EndTransactions() {
+	h.mu.Lock()
+	open := slices.Collect(maps.Values(h.transactions))
+	h.mu.Unlock()
+	for _, t := range open {
+		go func() {
+			defer guard.Recover(h.config.Log, "rollback")
+			h.rollBackAndRelease(t, true)
+		}()
+	}
+}
+
+// EndStatements ends the statements that still run, by closing their connections. Those whose
+// effect is not certain then have an unknown outcome.
+func (h *Home) EndStatements() {
+	h.mu.Lock()
+	clients := slices.Collect(maps.Values(h.clients))
+	h.mu.Unlock()
+	for _, client := range clients {
+		client.closeInUse()
+	}
+}
+
 // Sweep rolls back transactions that exceeded their idle timeout, and closes idle
 // connections: those that exceeded maxIdleTime, and those to an endpoint that no longer
 // exists or of which another VM is the first home. The function exists reports whether
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -183,10 +184,14 @@
 	if err == nil {
 		e.recordResponse()
 		e.config.Metrics.connectionsOpened.Inc(1)
-		return &pooledConnection{
+		c := &pooledConnection{
 			Connection: opened,
 			workspace:  workspace,
-		}, nil
+		}
+		e.mu.Lock()
+		e.inUse[c] = struct{}{}
+		e.mu.Unlock()
+		return c, nil
 	}
 	var refused *ReplyError
 	responded := errors.As(err, &refused)
@@ -219,6 +224,7 @@
 		}
 		e.idle = slices.Delete(e.idle, i, i+1)
 		if !candidate.Broken() {
+			e.inUse[candidate] = struct{}{}
 			return candidate
 		}
 		candidate.Close()
@@ -232,6 +238,7 @@
 func (e *endpointClient) put(c *pooledConnection, reusable bool) {
 	c.idleSince = e.config.Timer.Now()
 	e.mu.Lock()
+	delete(e.inUse, c)
 	keep := reusable && c.state == statement.Idle && e.open <= e.limit
 	if keep {
 		e.idle = append(e.idle, c)
@@ -244,6 +251,16 @@
 	}
 }
 
+// closeInUse closes the connections of running statements and open transactions.
+func (e *endpointClient) closeInUse() {
+	e.mu.Lock()
+	inUse := slices.Collect(maps.Keys(e.inUse))
+	e.mu.Unlock()
+	for _, c := range inUse {
+		c.Close()
+	}
+}
+
 // closeIdleSince closes the connections that have been idle since the cutoff or longer.
 func (e *endpointClient) closeIdleSince(cutoff time.Time) {
 	e.mu.Lock()
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -32,9 +32,10 @@
 const (
 	// maintenanceInterval is the interval of runMaintenance.
 	maintenanceInterval = 500 * time.Millisecond
-	// transactionGraceShare is the fraction of the grace period in which open transactions
-	// may finish.
-	transactionGraceShare = 0.5
+	// workGraceShare is the fraction of the grace period in which open transactions may finish
+	// and callers' new statements still start. A statement that started later might not end
+	// in time.
+	workGraceShare = 0.5
 	// idleGraceShare is the fraction of the grace period over which the closing of idle
 	// sessions is spread.
 	idleGraceShare = 0.3
@@ -43,6 +44,9 @@
 	finalDrainTime = 200 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process ends.
 	exitMargin = 500 * time.Millisecond
+	// responseMargin is how long before the end of the process the statements that still run
+	// are ended, so that their callers get a final response.
+	responseMargin = 200 * time.Millisecond
 	// storeWaitAtStart is how long a VM waits for the store after its start. If the store
 	// is still unreachable then, the VM serves with the data from other VMs.
 	storeWaitAtStart = 1500 * time.Millisecond
@@ -254,8 +258,9 @@
 }
 
 // leave announces that this VM takes no new work and deregisters it, so that other VMs
-// take over as homes and leader. Meanwhile its callers' open work and the transactions of
-// other VMs finish within the grace period.
+// take over as homes and leader. In the first part of the grace period its callers' open work
+// and the transactions of other VMs go on. Then only statements that have started finish, and
+// those that run until shortly before the end get a final response without their result.
 func (v *VM) leave(running context.Context, deregister func(), deregistration *sync.WaitGroup) {
 	v.config.Log.Info("Leaving.", "connections", v.connections.Count(), "transactions", v.home.OpenTransactions())
 	grace := time.Duration(v.grace.Load())
@@ -263,30 +268,37 @@
 	v.gossip.MarkLeaving()
 	v.gossip.AnnounceLeaving(running)
 	deregister()
-	untilExit, cancel := timer.WithTimeout(running, v.config.Timer, grace-exitMargin)
+	workTime := time.Duration(workGraceShare * float64(grace))
+	untilExit, cancel := timer.WithTimeout(running, v.config.Timer, max(grace-exitMargin, workTime))
 	defer cancel()
-	untilTransactionsEnd, cancelTransactions := timer.WithTimeout(running, v.config.Timer, time.Duration(transactionGraceShare*float64(grace)))
-	defer cancelTransactions()
+	untilStatementsEnd, cancelStatements := timer.WithTimeout(running, v.config.Timer, max(grace-exitMargin-responseMargin, workTime))
+	defer cancelStatements()
+	untilWorkEnds, cancelWork := timer.WithTimeout(running, v.config.Timer, workTime)
+	defer cancelWork()
+	cancelStopWork := context.AfterFunc(untilWorkEnds, v.stopWork)
+	defer cancelStopWork()
 	var pendingWork sync.WaitGroup
-	pendingWork.Go(func() { v.connections.Drain(untilExit, time.Duration(idleGraceShare*float64(grace))) })
-	pendingWork.Go(func() { v.awaitTransactions(untilTransactionsEnd) })
+	pendingWork.Go(func() { v.connections.Drain(untilStatementsEnd, time.Duration(idleGraceShare*float64(grace))) })
+	pendingWork.Go(func() { v.home.AwaitIdle(untilStatementsEnd) })
 	pendingWork.Wait()
 	deregistration.Wait()
 	// Connections that were accepted since the others ended are served, too.
 	v.connections.StopAccepting()
+	v.connections.Drain(untilStatementsEnd, finalDrainTime)
+	v.connections.EndStatements()
+	v.home.EndStatements()
 	v.connections.Drain(untilExit, finalDrainTime)
 	v.connections.CloseAll()
 	v.config.Log.Info("Stopped.", "connections", v.connections.Count(), "transactions", v.home.OpenTransactions())
 }
 
-// awaitTransactions waits until no transaction is open at an endpoint whose home this VM
-// is. Other VMs may have opened it.
-func (v *VM) awaitTransactions(ctx context.Context) {
-	for v.home.OpenTransactions() > 0 {
-		if err := timer.Sleep(ctx, v.config.Timer, 50*time.Millisecond); err != nil {
-			return
-		}
-	}
+// stopWork refuses the new work of callers and ends the open transactions, those of this VM's
+// callers and those at endpoints whose home this VM is.
+func (v *VM) stopWork() {
+	v.config.Log.Info("Refusing new work.", "connections", v.connections.Count(), "transactions", v.home.OpenTransactions())
+	v.sessions.StopWork()
+	v.connections.CloseIdle()
+	v.home.EndTransactions()
 }
 
 // Reconfigure applies the settings that may change while the process runs.
