Check the key for each statement of a transaction

Cause: begin stored the authorization in the transaction, and no later step looked the key up again.

Change: each statement and commit of a transaction checks the key in the newest configuration. If it is withdrawn or belongs to another workspace, the transaction is rolled back and the request is refused as not run (NOAUTH). Until the transaction is open at an endpoint, it takes route and key from the newest configuration.

The spec "keeps its authorization when the configuration changes" was wrong: it withdrew the key and expected the commit to succeed. A change of a route applies from the next transaction onward; there is no such exception for keys. Two specs replace it: "keeps its route when the configuration changes" checks the same commit, and a further statement, with the key in force and the route removed; "ends when its key is withdrawn or given to another workspace" checks the key at each step.

Ruled out: closing the sessions of withdrawn keys.

--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -23,6 +23,10 @@
 	if t == nil {
 		return s.runSingle(ctx, request, op, started)
 	}
+	if refused := s.reauthorize(); refused != nil {
+		s.endTransaction(refused)
+		return s.doInEndedTransaction(request)
+	}
 	run := s.newRun(t.auth, request, op)
 	run.Transaction = t.key
 	if !t.opened {
@@ -122,6 +126,10 @@
 	if t == nil {
 		return s.respondRefused(refusal.NewNotRun(refusal.InvalidRequest, "no transaction is open"))
 	}
+	if refused := s.reauthorize(); refused != nil {
+		s.endTransaction(refused)
+		return s.doInEndedTransaction(request)
+	}
 	started := s.manager.config.Timer.Now()
 	if !t.opened {
 		if err := s.manager.admit(ctx, t.auth); err != nil {
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -114,7 +114,8 @@
 	endpoint  catalog.Endpoint
 	home      catalog.VM
 	hasWrites bool
-	// auth is what was authorized at the begin; it applies until the transaction ends.
+	// auth is what was authorized when the transaction was opened at its endpoint; its route
+	// applies until the transaction ends. Before, it is what was authorized at the begin.
 	auth authorization
 }
 
@@ -353,46 +354,3 @@
 	}
 	return s.respond(statement.Response{Refused: refused})
 }
-
-// authorization is the part of the configuration that applies to a session's
-// operation: its route, database and workspace.
-type authorization struct {
-	route                catalog.Route
-	database             catalog.Database
-	workspace            string
-	transactionIdle      time.Duration
-	configurationVersion uint64
-}
-
-// publicWorkspace is the workspace name that endpoints receive for callers of public
-// routes.
-const publicWorkspace = "-"
-
-// authorize looks the session's host and key up in the newest configuration. It refuses all
-// sessions after StopWork.
-func (s *Session) authorize() (authorization, *refusal.Error) {
-	if s.manager.stopped.Load() {
-		return authorization{}, stoppedRefusal(refusal.NotReady)
-	}
-	c := s.manager.config.View.Configuration()
-	if c == nil {
-		return authorization{}, refusal.NewNotRun(refusal.NotReady, "this VM has no configuration yet")
-	}
-	route, ok := c.Routes[s.host]
-	if !ok {
-		return authorization{}, refusal.NewNotRun(refusal.NotAllowed, "there is no route for this host name")
-	}
-	workspace := publicWorkspace
-	if !route.Public {
-		if workspace, ok = c.WorkspaceByKey[s.key]; !ok {
-			return authorization{}, refusal.NewNotRun(refusal.KeyUnknown, "the key is unknown")
-		}
-	}
-	return authorization{
-		route:                route,
-		database:             c.Databases[route.Database],
-		workspace:            workspace,
-		transactionIdle:      c.TransactionIdle,
-		configurationVersion: c.Version,
-	}, nil
-}
--- a/engine/caller/session_test.go
+++ b/engine/caller/session_test.go
@@ -236,14 +236,54 @@
 		Expect(f.fleet.steps()).To(BeEmpty())
 	})
 
-	It("keeps its authorization when the configuration changes", func() {
-		// Guards against the commit of an open transaction failing because the
-		// configuration has changed.
+	It("keeps its route when the configuration changes", func() {
+		// Guards against the commit of an open transaction failing because its route has
+		// changed.
 		s := f.open("own")
 		do(s, statement.Begin{}, "BEGIN")
 		do(s, statement.Write{}, "WRITE a b")
-		f.view.AcceptConfiguration(configuration(2, nil), "test")
+		changed := configuration(2, map[string]string{"key": "ws"})
+		delete(changed.Routes, "own")
+		f.view.AcceptConfiguration(changed, "test")
+		expectServed(do(s, statement.Read{}, "READ a"), statement.InTransaction)
 		expectServed(do(s, statement.Commit{}, "COMMIT"), statement.Idle)
+		expectRefused(do(s, statement.Begin{}, "BEGIN"), refusal.NotRun, refusal.NotAllowed, statement.Idle)
+	})
+
+	DescribeTable("ends when its key is withdrawn or given to another workspace",
+		// Guards against a withdrawn key that works on in a transaction that was begun before.
+		func(opened bool, keys map[string]string, st statement.Statement, state statement.State) {
+			s := f.open("own")
+			do(s, statement.Begin{}, "BEGIN")
+			if opened {
+				expectServed(do(s, statement.Write{}, "WRITE a b"), statement.InTransaction)
+			}
+			steps := f.fleet.steps()
+			f.view.AcceptConfiguration(configuration(2, keys), "test")
+			response := do(s, st, "TEXT")
+			Expect(response.Refused).To(HaveField("Outcome", refusal.NotRun))
+			Expect(response.Refused.Reason).To(BeElementOf(refusal.KeyUnknown, refusal.KeyRevoked))
+			Expect(response.State).To(Equal(state))
+			if opened {
+				Eventually(func() peer.Step { return f.fleet.lastRun().Step }).Should(Equal(peer.StepRollback))
+				steps = append(steps, "p ")
+			}
+			Expect(f.fleet.steps()).To(Equal(steps))
+		},
+		Entry("before its first statement", false, nil, statement.Write{}, statement.InFailedTransaction),
+		Entry("before a commit without statements", false, nil, statement.Commit{}, statement.Idle),
+		Entry("before a further statement", true, nil, statement.Read{}, statement.InFailedTransaction),
+		Entry("before its commit", true, nil, statement.Commit{}, statement.Idle),
+		Entry("before its commit, by another workspace", true, map[string]string{"key": "other"}, statement.Commit{}, statement.Idle),
+	)
+
+	It("runs for the workspace that has its key at the first statement", func() {
+		// Guards against a first statement that runs for the former workspace of the key.
+		s := f.open("own")
+		do(s, statement.Begin{}, "BEGIN")
+		f.view.AcceptConfiguration(configuration(2, map[string]string{"key": "other"}), "test")
+		expectServed(do(s, statement.Write{}, "WRITE a b"), statement.InTransaction)
+		Expect(f.fleet.lastRun().Workspace).To(Equal("other"))
 	})
 })
 
