Send a statement only after its connection has been set up

Cause: values and prepared names count as present on a connection from the moment in which their commands are built, so that a connection on which one fails must be closed. openTransaction returned it to the pool. Related: a statement outside of a transaction followed its setup in the same write, and ran even if the setup failed.

Change: the connection records a failed setup from the replies, and the pool closes it whichever path returns it, also if an endpoint does not know a prepared name. Setup has a round trip of its own, in a transaction together with the begin.

Ruled out: noting values only after a success. A failed SET may have been carried out at the endpoint, so the state of the connection is unknown either way.

--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -179,18 +179,13 @@
 // tryRunSingle runs the statement once. It returns true if the statement may be
 // retried.
 func (h *Home) tryRunSingle(ctx context.Context, client *endpointClient, request *peer.RunRequest, deadline time.Time) (*peer.RunResponse, bool) {
-	c, err := client.acquireConnection(ctx, request.Workspace, deadline)
+	c, name, _, err := h.acquireSetUp(ctx, client, request, deadline)
 	if err != nil {
 		return errorResult(err), false
 	}
-	commands, name := c.setupCommands(request.Values, request.Prepared, false)
-	statementIndex := len(commands)
-	command := statementCommand(request, name)
+	commands := []Command{statementCommand(request, name)}
 	if request.Fenced {
-		statementIndex++
-		commands = append(commands, Begin{}, command, Rollback{})
-	} else {
-		commands = append(commands, command)
+		commands = []Command{Begin{}, commands[0], Rollback{}}
 	}
 	timeout := deadline.Sub(h.config.Timer.Now())
 	if !request.Write {
@@ -204,35 +199,24 @@
 		return noReplyResult(request, err), !request.Write && deadline.Sub(h.config.Timer.Now()) > minRetryTimeout && ctx.Err() == nil
 	}
 	client.recordResponse()
-	for _, r := range replies[:statementIndex] {
-		if r.Err != nil {
-			client.put(c, r.Err.Code == NotPrimary)
-			return h.setupFailedResult(request, replies[statementIndex], r.Err), false
-		}
+	if !request.Fenced {
+		client.put(c, true)
+		return resultFromReply(replies[0], request.Write), false
+	}
+	if refused := replies[0].Err; refused != nil {
+		// The read ran outside of a transaction, so its reply proves nothing.
+		client.put(c, refused.Code == NotPrimary)
+		failed := refusalFromReply(refused)
+		failed.Outcome = refusal.NotRun
+		return refusedResult(failed), false
 	}
-	reply := replies[statementIndex]
 	client.put(c, true)
-	return resultFromReply(reply, request.Write || request.Fenced), false
+	return resultFromReply(replies[1], true), false
 }
 
 // minRetryTimeout is the least remaining time with which a request is retried.
 const minRetryTimeout = 50 * time.Millisecond
 
-// setupFailedResult returns the result of a statement for which a preceding setup
-// command failed. A read had no effect; a write may have run without the session's
-// values.
-func (h *Home) setupFailedResult(request *peer.RunRequest, reply Reply, replyError *ReplyError) *peer.RunResponse {
-	if replyError.Code != NotPrimary {
-		h.config.Log.Info("Could not set up the connection for a statement.", "request", request.ID, "problem", replyError.Text)
-	}
-	if request.Write && reply.Err == nil {
-		return refusedResult(refusal.NewUnknown(refusal.OutcomeNotKnown, "the session's values or prepared statement could not be set at the endpoint"))
-	}
-	failed := refusalFromReply(replyError)
-	failed.Outcome = refusal.NotRun
-	return refusedResult(failed)
-}
-
 // RollBackTransaction rolls back a transaction, once its running step has ended. It is
 // called when the VM that serves the transaction's caller has disconnected.
 func (h *Home) RollBackTransaction(key peer.TransactionKey) {
--- a/engine/endpoint/home_test.go
+++ b/engine/endpoint/home_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -185,17 +187,93 @@
 			"discard", "prepare s2 q1", "EXECUTE s2 a")
 	})
 
-	It("make a read fail and its connection close if they could not be set", func() {
-		// Guards against a read that runs without the values of its session.
+	// failSetup makes the endpoint fail the first commands of the given kinds.
+	failSetup := func(times int, failing ...string) {
 		fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
-			if _, ok := c.(endpoint.Set); ok {
-				return scriptedRefusal(endpoint.InvalidCommand)
+			kind, _, _ := strings.Cut(describe(c), " ")
+			if times > 0 && slices.Contains(failing, kind) {
+				times--
+				return scriptedRefusal(endpoint.ExecutionFailed)
 			}
 			return endpoint.Reply{}, nil
 		}
-		ran := home.Run(ctx, request(peer.StepSingle, "READ a", with(map[string]string{"tz": "utc"})))
-		Expect(ran.Refused.Outcome).To(Equal(refusal.NotRun))
-		Expect(ran.Signature).To(BeEmpty())
+	}
+
+	DescribeTable("make a statement fail as not run and its connection close if they could not be set",
+		// Guards against a statement that runs without the values of its session, or with
+		// those of another one. It did so in transactions, whose setup counted as done, and
+		// outside of them, where the statement followed in the same write.
+		func(step peer.Step, text string, failing string) {
+			expectServed(home.Run(ctx, request(peer.StepSingle, "READ z", with(map[string]string{"other": "value"}))))
+			failSetup(100, failing)
+			ran := home.Run(ctx, request(step, text, prepared, with(map[string]string{"tz": "utc"}), func(r *peer.RunRequest) {
+				r.Write = strings.HasPrefix(text, "WRITE")
+			}))
+			expectRefused(ran, refusal.NotRun, refusal.ConnectionLost)
+			Expect(ran.Signature).To(BeEmpty())
+			Expect(strings.Join(fake.commands(), " ")).NotTo(ContainSubstring("EXECUTE"))
+			Expect(fake.connections()).To(BeZero())
+			Expect(home.OpenTransactions()).To(BeZero())
+		},
+		Entry("read, set", peer.StepSingle, "READ a", "set"),
+		Entry("read, prepare", peer.StepSingle, "READ a", "prepare"),
+		Entry("write, set", peer.StepSingle, "WRITE a b", "set"),
+		Entry("first statement of a transaction, set", peer.StepFirst, "READ a", "set"),
+		Entry("first statement of a transaction, prepare", peer.StepFirst, "READ a", "prepare"),
+	)
+
+	DescribeTable("are set on another connection if one fails",
+		// Guards against the next statement on a connection whose setup has failed, and
+		// against refusing a statement because of one failure.
+		func(step peer.Step, failing string) {
+			expectServed(home.Run(ctx, request(peer.StepSingle, "READ z", with(map[string]string{"other": "value"}))))
+			failSetup(1, failing)
+			expectServed(home.Run(ctx, request(step, "", prepared, with(map[string]string{"tz": "utc"}))))
+			Expect(fake.commands()[len(fake.commands())-1]).To(Equal("EXECUTE s1 a"))
+			Expect(fake.connections()).To(Equal(1))
+		},
+		Entry("discard", peer.StepSingle, "discard"),
+		Entry("set", peer.StepSingle, "set"),
+		Entry("prepare", peer.StepSingle, "prepare"),
+		Entry("discard at the begin", peer.StepFirst, "discard"),
+		Entry("set at the begin", peer.StepFirst, "set"),
+		Entry("prepare at the begin", peer.StepFirst, "prepare"),
+	)
+
+	It("end a transaction and its connection if they could not be set inside of it", func() {
+		// Guards against a connection that is reused without the prepared statement that
+		// counts as present on it.
+		expectServed(home.Run(ctx, request(peer.StepFirst, "READ a")))
+		failSetup(1, "prepare")
+		expectRefused(home.Run(ctx, request(peer.StepNext, "", prepared)), refusal.NotRun, refusal.TransactionConflict)
+		Expect(fake.connections()).To(BeZero())
+		expectServed(home.Run(ctx, request(peer.StepSingle, "", prepared)))
+		Expect(fake.commands()[len(fake.commands())-2:]).To(Equal([]string{"prepare s1 q1", "EXECUTE s1 a"}))
+	})
+
+	It("are set anew after the endpoint did not know a prepared statement", func() {
+		// Guards against a connection on which each execution of the statement fails.
+		fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
+			if _, ok := c.(endpoint.Execute); ok {
+				return scriptedRefusal(endpoint.UnknownPreparedName)
+			}
+			return endpoint.Reply{}, nil
+		}
+		Expect(home.Run(ctx, request(peer.StepSingle, "", prepared)).Refused).To(HaveField("Outcome", refusal.NotRun))
 		Expect(fake.connections()).To(BeZero())
 	})
+
+	It("are set on another connection if the reply is lost, also before a write", func() {
+		// Guards against a write of unknown outcome although only its setup was sent.
+		lost := false
+		fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
+			if _, ok := c.(endpoint.Set); ok && !lost {
+				lost = true
+				return endpoint.Reply{}, errConnectionLost
+			}
+			return endpoint.Reply{}, nil
+		}
+		expectServed(home.Run(ctx, request(peer.StepSingle, "WRITE a b", with(map[string]string{"tz": "utc"}))))
+		expectCommands(fake, "start ws", "set tz=utc", "close", "start ws", "set tz=utc", "WRITE a b")
+	})
 })
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -46,24 +46,38 @@
 	lastNameNumber int
 	// state is the transaction state that the endpoint reported last.
 	state statement.State
+	// setupFailed means that values and preparedNames may differ from what the endpoint has.
+	// Such a connection is not reused.
+	setupFailed bool
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 }
 
-// Run runs commands and records the transaction state after them.
+// Run runs commands and records the transaction state after them, and whether a setup command
+// failed or the endpoint does not know a prepared statement.
 func (p *pooledConnection) Run(timeout time.Duration, commands []Command) ([]Reply, error) {
 	replies, err := p.Connection.Run(timeout, commands)
 	p.state = statement.InFailedTransaction
 	if err == nil && len(replies) > 0 {
 		p.state = replies[len(replies)-1].State
 	}
+	for i, r := range replies {
+		if r.Err == nil {
+			continue
+		}
+		switch commands[i].(type) {
+		case Set, Prepare, Discard:
+			p.setupFailed = true
+		case Execute:
+			p.setupFailed = p.setupFailed || r.Err.Code == UnknownPreparedName
+		}
+	}
 	return replies, err
 }
 
 // setupCommands returns the commands that set the session's values and the prepared
 // statement on the connection, and the name of the prepared statement on this
-// connection. The commands count as done from now on, so the connection must be closed
-// if one of them fails.
+// connection. The commands count as done from now on; Run records if one of them fails.
 func (p *pooledConnection) setupCommands(values map[string]string, prepared *statement.Prepared, inTransaction bool) ([]Command, string) {
 	var commands []Command
 	if !inTransaction && (p.hasOtherValues(values) || len(p.preparedNames) >= maxPreparedNames) {
@@ -234,12 +248,12 @@
 }
 
 // put returns a connection to the pool, or closes it if it is not reusable, has an open
-// transaction, or exceeds the limit.
+// transaction or uncertain session values, or exceeds the limit.
 func (e *endpointClient) put(c *pooledConnection, reusable bool) {
 	c.idleSince = e.config.Timer.Now()
 	e.mu.Lock()
 	delete(e.inUse, c)
-	keep := reusable && c.state == statement.Idle && e.open <= e.limit
+	keep := reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit
 	if keep {
 		e.idle = append(e.idle, c)
 	} else {
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -74,32 +74,21 @@
 // together and the endpoint refused the begin, because it is not the primary or has not
 // reached the required position, the statement would run outside of a transaction.
 func (h *Home) openTransaction(ctx context.Context, t *transaction, request *peer.RunRequest, deadline time.Time) *peer.RunResponse {
-	c, err := t.client.acquireConnection(ctx, request.Workspace, deadline)
-	if err != nil {
-		return errorResult(err)
-	}
-	t.connection = c
-	commands, name := c.setupCommands(request.Values, request.Prepared, false)
-	commands = append(commands, Begin{
+	c, name, replies, err := h.acquireSetUp(ctx, t.client, request, deadline, Begin{
 		ReadOnly: request.ReadOnly,
 		After:    request.After,
 	})
-	replies, err := c.Run(deadline.Sub(h.config.Timer.Now()), commands)
 	if err != nil {
-		t.ended = true
-		t.client.recordNoResponse()
-		return refusedResult(refusal.NewNotRun(refusal.Unreachable, "the endpoint did not respond to the begin of the transaction"))
+		return errorResult(err)
 	}
-	t.client.recordResponse()
-	for _, r := range replies {
-		if r.Err != nil {
-			failed := refusalFromReply(r.Err)
-			failed.Outcome = refusal.NotRun
-			return refusedResult(failed)
-		}
+	t.connection = c
+	if refused := replies[0].Err; refused != nil {
+		failed := refusalFromReply(refused)
+		failed.Outcome = refusal.NotRun
+		return refusedResult(failed)
 	}
 	if request.Text == "" {
-		return &peer.RunResponse{Position: replies[len(replies)-1].Position}
+		return &peer.RunResponse{Position: replies[0].Position}
 	}
 	return h.runStep(t, request, statementCommand(request, name), deadline)
 }
