Add a soak that runs the platform's program under overlapping signals

A seeded schedule overlaps SIGTERM (with further SIGHUP or SIGTERM in the grace period), SIGHUP to all, SIGKILL, SIGSTOP, configurations, withdrawn keys and endpoints that fail 40% of their requests. It checks LOST, PINNED, CONFIG, QUOTA, REFUSED, TWICE, MIXED, UNASKED and processes that end by themselves or not at all.

It does not check STALE, DRAIN or ONE: the endpoints share one log.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 TOOL := GOWORK=off go -C tools build -o ../bin/
 
-.PHONY: all bench build capacity check demo fmt generate lint test tidy tools
+.PHONY: all bench build capacity check demo fmt generate lint soak test tidy tools
 
 all: build
 
@@ -42,13 +42,21 @@
 	bin/staticcheck $(PACKAGES)
 	bin/revive -config revive.toml -set_exit_status $(PACKAGES)
 
+# soak plays SEEDS seeds, beginning with FIRST, PARALLEL of them at a time. A seed takes 40 s.
+FIRST ?= 1
+SEEDS ?= 20
+PARALLEL ?= 2
+soak: build
+	bin/loadtool soak --platform --first $(FIRST) --seeds $(SEEDS) --parallel $(PARALLEL)
+
 # The process-level failure tests run on their own, because the state-space searches of
 # the other tests would take processor time from the processes under test. Their results
 # are not cached (-count=1), because the test cache does not track the programs that they
 # start. CI skips the specs of KNOWN-RED.txt with FAULTS_FLAGS.
 test:
-	go test -timeout 5m $$(go list $(PACKAGES) | grep -v /loadtool/faults/)
+	go test -timeout 5m $$(go list $(PACKAGES) | grep -v '/loadtool/faults/\|/platform/soak')
 	go test -count=1 -timeout 9m -p 1 ./loadtool/faults/... $(FAULTS_FLAGS)
+	go test -count=1 -timeout 5m ./platform/soak -soak.seeds=2 -soak.parallel=2
 
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOFLAGS=-mod=mod GOWORK=off go mod tidy) || exit 1; done
--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -1,4 +1,4 @@
-// Command loadtool runs a demo deployment, the benchmarks and the capacity measurements.
+// Command loadtool runs a demo deployment, the soak, the benchmarks and the capacity measurements.
 package main
 
 import (
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	app := kingpin.New("loadtool", "Demo, benchmarks and capacity measurements of amaranthdock.")
+	app := kingpin.New("loadtool", "Demo, soak, benchmarks and capacity measurements of amaranthdock.")
 	app.HelpFlag.Short('h')
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -25,6 +25,7 @@
 	addCapacity(ctx, app)
 	addDemo(ctx, app)
 	addServe(ctx, app)
+	addSoak(ctx, app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
 
