Prefer the connection that needs the fewest setup commands

Cause: since a statement waits for its setup, each SET, PREPARE or DISCARD before it costs a round trip. Sessions of a workspace took the connection that was used last, with whatever values it had, and set them anew.

Change: of the idle connections of the workspace a statement takes the one that needs the fewest commands, and of several the one that was used last.

New spec: two sessions with different values that take turns need no setup; it fails on the code before.

--- a/engine/endpoint/home_test.go
+++ b/engine/endpoint/home_test.go
@@ -169,6 +169,26 @@
 		expectCommands(fake, "start ws", "set tz=utc", "READ a", "discard", "READ b")
 	})
 
+	It("decide which connection a statement takes", func() {
+		// Guards against a discard and a setup for each statement of two sessions that take
+		// turns although there is a connection with the values of each.
+		utc, cet := with(map[string]string{"tz": "utc"}), with(map[string]string{"tz": "cet"})
+		fake.holdReads = make(chan struct{})
+		results := make(chan *peer.RunResponse, 2)
+		for _, values := range []func(*peer.RunRequest){utc, cet} {
+			go func() { results <- home.Run(ctx, request(peer.StepSingle, "READ a", values)) }()
+		}
+		Eventually(func() int { return strings.Count(strings.Join(fake.commands(), " "), "READ a") }).Should(Equal(2))
+		close(fake.holdReads)
+		expectServed(<-results)
+		expectServed(<-results)
+		before := len(fake.commands())
+		for _, values := range []func(*peer.RunRequest){utc, cet, utc, cet} {
+			expectServed(home.Run(ctx, request(peer.StepSingle, "READ b", values)))
+		}
+		Expect(fake.commands()[before:]).To(Equal([]string{"READ b", "READ b", "READ b", "READ b"}))
+	})
+
 	It("are changed without a discard if only the value differs", func() {
 		// Guards against a statement that runs with an old value, and against a needless
 		// discard.
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
 	"amaranthdock.dev/timer"
 )
@@ -117,6 +118,27 @@
 	return commands, name
 }
 
+// setupCount returns the number of commands that setupCommands would return outside of a
+// transaction.
+func (p *pooledConnection) setupCount(values map[string]string, prepared *statement.Prepared) int {
+	count := 0
+	discard := p.hasOtherValues(values) || len(p.preparedNames) >= maxPreparedNames
+	if discard {
+		count++
+	}
+	for name, value := range values {
+		if held, ok := p.values[name]; discard || !ok || held != value {
+			count++
+		}
+	}
+	if prepared != nil {
+		if _, ok := p.preparedNames[*prepared]; discard || !ok {
+			count++
+		}
+	}
+	return count
+}
+
 // hasOtherValues reports whether a value is set on the connection that the session has
 // not set.
 func (p *pooledConnection) hasOtherValues(values map[string]string) bool {
@@ -128,14 +150,14 @@
 	return false
 }
 
-// acquireConnection returns an idle connection of the workspace, or a new one. The
+// acquireConnection returns an idle connection of the request's workspace, or a new one. The
 // function's caller must hold a slot; transactions pin only so many connections that
 // one remains for each slot. While the endpoint is at its connection limit, for example
 // because of the connections of a home that lost power, acquireConnection waits until
 // one of this home's connections is free.
-func (e *endpointClient) acquireConnection(ctx context.Context, workspace string, deadline time.Time) (*pooledConnection, error) {
+func (e *endpointClient) acquireConnection(ctx context.Context, request *peer.RunRequest, deadline time.Time) (*pooledConnection, error) {
 	for {
-		found, evicted, err := e.takeIdleOrReserve(workspace)
+		found, evicted, err := e.takeIdleOrReserve(request)
 		if evicted != nil {
 			evicted.Close()
 		}
@@ -148,7 +170,7 @@
 		if found != nil {
 			return found, nil
 		}
-		opened, err := e.dial(ctx, workspace)
+		opened, err := e.dial(ctx, request.Workspace)
 		var refused *ReplyError
 		if errors.As(err, &refused) {
 			if refused.Code == TooManyConnections && e.config.Timer.Now().Add(acquireRetryInterval).Before(deadline) {
@@ -163,14 +185,14 @@
 // errAtLimit means that all connections are in use and one may become free soon.
 var errAtLimit error = refusal.NewNotRun(refusal.Overloaded, "the endpoint is at its connection limit")
 
-// takeIdleOrReserve takes an idle connection of the workspace, or counts a new one that
+// takeIdleOrReserve takes an idle connection for the request, or counts a new one that
 // the caller must dial. If no further connection is allowed, it evicts an idle one of
 // another workspace, which the caller must close before it dials a new one. The error
 // is errAtLimit, or a refusal because the last dial failed.
-func (e *endpointClient) takeIdleOrReserve(workspace string) (found, evicted *pooledConnection, err error) {
+func (e *endpointClient) takeIdleOrReserve(request *peer.RunRequest) (found, evicted *pooledConnection, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if found := e.takeIdle(workspace); found != nil {
+	if found := e.takeIdle(request.Workspace, request.Values, request.Prepared); found != nil {
 		return found, nil, nil
 	}
 	now := e.config.Timer.Now()
@@ -228,15 +250,25 @@
 	return nil, refused
 }
 
-// takeIdle returns the most recently used idle connection of the workspace; nil if
-// there is none. It closes connections that it finds broken. The lock must be held.
-func (e *endpointClient) takeIdle(workspace string) *pooledConnection {
-	for i := len(e.idle) - 1; i >= 0; i-- {
-		candidate := e.idle[i]
-		if candidate.workspace != workspace {
-			continue
+// takeIdle returns the idle connection of the workspace that needs the fewest setup commands,
+// and of several ones the most recently used; nil if there is none. It closes connections that
+// it finds broken. The lock must be held.
+func (e *endpointClient) takeIdle(workspace string, values map[string]string, prepared *statement.Prepared) *pooledConnection {
+	for {
+		best, fewest := -1, 0
+		for i := len(e.idle) - 1; i >= 0 && (best < 0 || fewest > 0); i-- {
+			if e.idle[i].workspace != workspace {
+				continue
+			}
+			if count := e.idle[i].setupCount(values, prepared); best < 0 || count < fewest {
+				best, fewest = i, count
+			}
+		}
+		if best < 0 {
+			return nil
 		}
-		e.idle = slices.Delete(e.idle, i, i+1)
+		candidate := e.idle[best]
+		e.idle = slices.Delete(e.idle, best, best+1)
 		if !candidate.Broken() {
 			e.inUse[candidate] = struct{}{}
 			return candidate
@@ -244,7 +276,6 @@
 		candidate.Close()
 		e.open--
 	}
-	return nil
 }
 
 // put returns a connection to the pool, or closes it if it is not reusable, has an open
--- a/engine/endpoint/sample.go
+++ b/engine/endpoint/sample.go
@@ -30,7 +30,7 @@
 	beganBoot := h.config.Timer.SinceBoot()
 	c := client.takeAnyIdle()
 	if c == nil {
-		if c, err = client.acquireConnection(ctx, request.Workspace, deadline); err != nil {
+		if c, err = client.acquireConnection(ctx, request, deadline); err != nil {
 			return errorResult(err)
 		}
 	}
@@ -64,7 +64,8 @@
 	if len(e.idle) == 0 {
 		return nil
 	}
-	return e.takeIdle(e.idle[len(e.idle)-1].workspace)
+	latest := e.idle[len(e.idle)-1]
+	return e.takeIdle(latest.workspace, latest.values, nil)
 }
 
 // recentSample returns the newest position sample; false if it is older than sampleTTL.
--- a/engine/endpoint/setup.go
+++ b/engine/endpoint/setup.go
@@ -19,7 +19,7 @@
 // Its errors prove that the statement has not run.
 func (h *Home) acquireSetUp(ctx context.Context, client *endpointClient, request *peer.RunRequest, deadline time.Time, further ...Command) (*pooledConnection, string, []Reply, error) {
 	for attempt := 1; ; attempt++ {
-		c, err := client.acquireConnection(ctx, request.Workspace, deadline)
+		c, err := client.acquireConnection(ctx, request, deadline)
 		if err != nil {
 			return nil, "", nil, err
 		}
