Take a lost leader's lease over sooner, and stop work at a primary that drains for too long

Causes: a takeover spent up to a second on polling and waiting after the end of the lease, half a second of it for the registration of the lost leader itself; and nothing but a leader ended the use of a draining primary.

Change: the VMs next in rank read the leader's key while the leader cannot be reached; VMs that are not available do not count in the rank; a vacant lease is acquired in the check that finds it vacant. From 3 s before the drain limit of the settings on (bounds.drain_ms, optional), a draining primary gets no new statements; open transactions go on, and the leader still replaces it.

Evidence: the specs in engine/caller and engine/failover fail without their change.

Ruled out: a shorter lease. It is renewed through slow answers of the store, and holders must not alternate. A successor's intent in the store: the draining report holds the same information.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -139,7 +139,7 @@
 	}
 	target, ok := d.session.manager.config.View.Primary(d.auth.database.Name)
 	d.request.Fenced = d.request.Step == peer.StepSingle && !d.request.Write
-	return target, ok
+	return target, ok && d.session.manager.config.View.MayStartWork(target)
 }
 
 // chooseReplica picks an endpoint, which may be the primary, whose log is expected to
--- a/engine/caller/dispatch_test.go
+++ b/engine/caller/dispatch_test.go
@@ -232,3 +232,24 @@
 		}).Should(BeNumerically("<", 500*time.Millisecond))
 	})
 })
+
+var _ = Describe("a primary that drains for too long", func() {
+	It("gets no new statements, but those of its open transactions", func() {
+		// Guards against a draining primary that stays in use beyond its limit while no leader
+		// replaces it.
+		f := newFixture().start()
+		s := f.open("strict")
+		do(s, statement.Begin{}, "BEGIN")
+		expectServed(do(s, statement.Write{}, "WRITE a b"), statement.InTransaction)
+		draining := endpoints(2, "p")
+		p := draining.ByID["p"]
+		p.Draining = true
+		draining.ByID["p"] = p
+		f.view.AcceptEndpoints(draining, "test")
+		expectServed(do(f.open("strict"), statement.Read{}, "READ a"), statement.Idle)
+		time.Sleep(drainLimit)
+		expectRefused(do(f.open("strict"), statement.Read{}, "READ b"), refusal.NotRun, refusal.NoPrimary, statement.Idle)
+		expectServed(do(s, statement.Commit{}, "COMMIT"), statement.Idle)
+		Expect(f.fleet.steps()).To(Equal([]string{"p WRITE a b", "p READ a", "p COMMIT"}))
+	})
+})
--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -172,6 +172,9 @@
 	return e
 }
 
+// drainLimit is the time after which a draining endpoint may get no new statements.
+const drainLimit = 100 * time.Millisecond
+
 func newFixture() *fixture {
 	f := &fixture{fleet: &fakeFleet{}}
 	self := catalog.VM{
@@ -185,6 +188,7 @@
 		Timer:       timer.NewSystem(),
 		Log:         logr.Discard(),
 		Unreachable: func(string) bool { return false },
+		DrainLimit:  drainLimit,
 	})
 	f.sessions = caller.New(caller.Config{
 		View:     f.view,
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -57,8 +57,10 @@
 	// StoreHealthyFor returns how long the store has responded to this VM without a
 	// failure; 0 if it is unreachable.
 	StoreHealthyFor() time.Duration
-	// RefreshReports requests a read of the endpoints' reports from the store.
+	// RefreshReports requests a read of the endpoints' reports from the store, and RefreshFleet
+	// one of the registrations and the leader's key.
 	RefreshReports()
+	RefreshFleet()
 }
 
 // Config configures a Manager.
--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -346,3 +346,24 @@
 		f.expectNoPromotion()
 	})
 })
+
+var _ = Describe("a VM that may succeed the leader", func() {
+	It("watches the lease of a leader that it cannot reach", func() {
+		// Guards against a second in which nobody notices that the leader's lease has ended:
+		// with two leaders lost in a row, a draining primary stayed in use for too long.
+		newFixtureWith(func(f *fixture) {
+			fleet := f.view.VMs().ByName
+			f.view.AcceptVMs(&catalog.VMSnapshot{
+				Revision: 2,
+				ByName:   fleet,
+				Leader:   "lost",
+			}, "test")
+			f.store.onRefreshFleet = func() {
+				f.view.AcceptVMs(&catalog.VMSnapshot{
+					Revision: 3,
+					ByName:   fleet,
+				}, "test")
+			}
+		})
+	})
+})
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -84,11 +84,19 @@
 	items     map[string]store.Item
 	leases    map[uint64]bool
 	steadyFor time.Duration
+	// onRefreshFleet is called by RefreshFleet; may be nil.
+	onRefreshFleet func()
 }
 
 func (f *fakeStore) StoreReachable() bool { return true }
 func (f *fakeStore) RefreshReports()      {}
 
+func (f *fakeStore) RefreshFleet() {
+	if f.onRefreshFleet != nil {
+		f.onRefreshFleet()
+	}
+}
+
 func (f *fakeStore) StoreHealthyFor() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/engine/failover/leader.go
+++ b/engine/failover/leader.go
@@ -24,6 +24,8 @@
 	// rankDelay staggers the attempts of the VMs to acquire a vacant lease, so that usually
 	// only the first one tries.
 	rankDelay = 500 * time.Millisecond
+	// maxSuccessors is the number of VMs that watch the lease of a leader that cannot be reached.
+	maxSuccessors = 2
 	// campaignInterval is the time between two checks for a vacant lease.
 	campaignInterval = 250 * time.Millisecond
 )
@@ -60,11 +62,15 @@
 			vacantSince = 0
 		case m.config.View.VMs().Leader != "":
 			vacantSince = 0
-		case vacantSince == 0:
-			vacantSince = m.config.Timer.SinceBoot()
-		case m.config.Timer.SinceBoot()-vacantSince >= m.acquireDelay():
-			m.acquire(ctx, 0)
-			vacantSince = 0
+			m.watchLostLeader()
+		default:
+			if vacantSince == 0 {
+				vacantSince = m.config.Timer.SinceBoot()
+			}
+			if m.config.Timer.SinceBoot()-vacantSince >= m.acquireDelay() {
+				m.acquire(ctx, 0)
+				vacantSince = 0
+			}
 		}
 		pause := m.config.Timer.After(wait)
 		select {
@@ -76,6 +82,17 @@
 	m.resign()
 }
 
+// watchLostLeader requests reads of the leader's key while the leader cannot be reached and this
+// VM is one of the first that would succeed it, so that they notice the end of its lease at
+// once.
+func (m *Manager) watchLostLeader() {
+	vms := m.config.View.VMs()
+	leader, ok := vms.ByName[vms.Leader]
+	if (!ok || m.config.Clients.Unreachable(vms.Leader) || m.config.View.IsLeaving(leader)) && m.rank() < maxSuccessors {
+		m.config.StoreStatus.RefreshFleet()
+	}
+}
+
 // acquireDelay returns how long the lease must be vacant before this VM tries to acquire
 // it. A VM that has just started waits longer than the others, since it cannot decide
 // about lost primaries until the store has been reachable for a while.
@@ -84,11 +101,14 @@
 	return time.Duration(m.rank())*rankDelay + untilHealthy
 }
 
-// rank returns the position of this VM in the order in which VMs try to acquire the lease.
+// rank returns the position of this VM in the order in which VMs try to acquire the lease. VMs
+// that are not available do not count: the registration of a lost leader outlasts its lease.
 func (m *Manager) rank() int {
 	var candidates []routing.VM
-	for name := range m.config.View.VMs().ByName {
-		candidates = append(candidates, routing.VM{Name: name})
+	for name, vm := range m.config.View.VMs().ByName {
+		if m.config.View.IsAvailable(vm) {
+			candidates = append(candidates, routing.VM{Name: name})
+		}
 	}
 	for i, vm := range routing.Rank(store.LeaderKey, candidates) {
 		if vm.Name == m.config.View.Self().Name {
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -261,8 +261,10 @@
 	stale := false
 	for ctx.Err() == nil {
 		if !s.ReadsStore() {
-			s.sleep(ctx, readerCheckInterval)
-			continue
+			if !s.awaitFleetRequest(ctx, readerCheckInterval) {
+				continue
+			}
+			stale = false
 		}
 		requestedAt := s.config.Timer.SinceBoot()
 		items, revision, err := s.config.Store.Range(ctx, fleetPrefix, stale)
@@ -291,9 +293,22 @@
 		s.config.View.AcceptVMs(vms, "store")
 		// A stale read could lack this VM's own registration, so reads are current
 		// until it has appeared.
-		stale = registered
-		s.sleep(ctx, s.nextPollInterval())
+		stale = registered && !s.awaitFleetRequest(ctx, s.nextPollInterval())
+	}
+}
+
+// awaitFleetRequest waits for a time, or for a call of RefreshFleet. It returns true if there was
+// one.
+func (s *Syncer) awaitFleetRequest(ctx context.Context, wait time.Duration) bool {
+	timeout := s.config.Timer.After(wait)
+	defer timeout.Stop()
+	select {
+	case <-s.fleetRequested:
+		return true
+	case <-timeout.C():
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // decodeRegistration decodes a registration. One that is not complete does not name a VM.
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -107,6 +107,8 @@
 	meanLatency   atomic.Int64
 	failures      metrics.Counter
 	pollRequested chan struct{}
+	// fleetRequested receives the requests for a read of the registrations.
+	fleetRequested chan struct{}
 }
 
 // New returns a Syncer. Register and the Follow methods do the work.
@@ -117,6 +119,8 @@
 		registered:    make(chan struct{}),
 		failures:      metrics.GetOrRegisterCounter("store.failures", config.Registry),
 		pollRequested: make(chan struct{}, 1),
+		// Requests that arrive during a read cause one further read.
+		fleetRequested: make(chan struct{}, 1),
 	}
 }
 
@@ -148,6 +152,15 @@
 	}
 }
 
+// RefreshFleet requests a current read of the registrations without waiting for the next
+// interval, also by a VM that does not read the store otherwise.
+func (s *Syncer) RefreshFleet() {
+	select {
+	case s.fleetRequested <- struct{}{}:
+	default:
+	}
+}
+
 // recordCall records the result of a call, other than a watch, that was sent at a reading of
 // SinceBoot. A failure ends the time for which the store counts as healthy.
 func (s *Syncer) recordCall(sentAt time.Duration, err error) {
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -67,6 +67,9 @@
 	// provedTerm is the highest term in which the endpoint proved that it was the
 	// primary; 0 for none.
 	provedTerm uint64
+	// drainingSince is the time, as a reading of SinceBoot, at which this VM learned that the
+	// endpoint is draining; 0 if it is not.
+	drainingSince time.Duration
 }
 
 // database returns the state of a database. The caller holds the lock.
@@ -93,7 +96,7 @@
 // a demotion. A repeated report of that role does not, because it may be older than the
 // rejection that caused the demotion. A change from primary to another role is a demotion: the
 // endpoint may have proved a term to this VM that ended since.
-func (d *database) recordReport(previous, current catalog.Endpoint) {
+func (d *database) recordReport(previous, current catalog.Endpoint, now time.Duration) {
 	if previous.Key != current.Key {
 		delete(d.endpoints, previous.Key)
 	}
@@ -103,6 +106,30 @@
 	if current.Role != catalog.RolePrimary && previous.Key == current.Key && previous.Role == catalog.RolePrimary {
 		d.endpoint(current.Key).demoted = true
 	}
+	switch state := d.endpoint(current.Key); {
+	case !current.Draining:
+		state.drainingSince = 0
+	case state.drainingSince == 0:
+		state.drainingSince = max(now, 1)
+	}
+}
+
+// drainNoticeMargin is how long before the drain limit an endpoint gets no new statements: the
+// limit counts from the endpoint's report, of which a VM learns later, and statements wait in
+// a queue.
+const drainNoticeMargin = 3 * time.Second
+
+// MayStartWork reports whether an endpoint may get new statements. A primary that is draining
+// may until it has been replaced, but not beyond the drain limit.
+func (v *View) MayStartWork(e catalog.Endpoint) bool {
+	if v.config.DrainLimit == 0 {
+		return true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	since := v.database(e.Database).endpoint(e.Key).drainingSince
+	limit := max(v.config.DrainLimit-drainNoticeMargin, v.config.DrainLimit/2)
+	return since == 0 || v.config.Timer.SinceBoot()-since < limit
 }
 
 // Primary returns the endpoint that this VM takes for the primary of a database; false if
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -25,6 +25,9 @@
 	Log     logr.Logger
 	// Unreachable reports whether a recent call to a VM failed to reach it.
 	Unreachable func(vm string) bool
+	// DrainLimit is the time after which an endpoint that is draining may get no new statements;
+	// 0 for no limit.
+	DrainLimit time.Duration
 }
 
 // View is the local copy. It is safe for concurrent use.
@@ -153,7 +156,7 @@
 	v.endpoints.Store(e)
 	v.logEndpointChanges(current, e, source)
 	for id, endpoint := range e.ByID {
-		v.database(endpoint.Database).recordReport(current.ByID[id], endpoint)
+		v.database(endpoint.Database).recordReport(current.ByID[id], endpoint, v.config.Timer.SinceBoot())
 	}
 	v.notifyChange()
 	return true
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -41,6 +41,7 @@
 		Timer:       f.clock,
 		Log:         logr.Discard(),
 		Unreachable: func(name string) bool { return f.unreachable[name] },
+		DrainLimit:  7 * time.Second,
 	})
 	return f
 }
@@ -300,3 +301,28 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("a draining endpoint", func() {
+	It("gets no new statements when its limit is near", func() {
+		// Guards against statements at a draining primary that is not replaced in time,
+		// because one leader after the other is lost.
+		f := newFixture()
+		draining := endpoint("p", catalog.RolePrimary)
+		f.AcceptEndpoints(endpoints(1, draining), "test")
+		f.clock.Advance(time.Minute)
+		Expect(f.MayStartWork(draining)).To(BeTrue())
+		draining.Draining = true
+		f.AcceptEndpoints(endpoints(2, draining), "test")
+		f.clock.Advance(2 * time.Second)
+		f.AcceptEndpoints(endpoints(3, draining), "test")
+		f.clock.Advance(1900 * time.Millisecond)
+		Expect(f.MayStartWork(draining)).To(BeTrue())
+		f.clock.Advance(200 * time.Millisecond)
+		Expect(f.MayStartWork(draining)).To(BeFalse())
+		primary, ok := f.Primary("db")
+		Expect(ok).To(BeTrue(), "the leader still has to replace it")
+		Expect(primary.Key.ID).To(Equal("p"))
+		f.AcceptEndpoints(endpoints(4, endpoint("p", catalog.RolePrimary)), "test")
+		Expect(f.MayStartWork(draining)).To(BeTrue())
+	})
+})
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -47,6 +47,9 @@
 	// Grace is the grace period: the time from the start of leaving to the end of the
 	// process.
 	Grace time.Duration
+	// DrainLimit is the time after which an endpoint that is draining may get no new statements;
+	// 0 for no limit.
+	DrainLimit time.Duration
 	// LimitTolerance is the fraction of a workspace's limit by which the fleet may exceed
 	// it in any time window of length LimitWindow.
 	LimitTolerance      float64
@@ -114,6 +117,7 @@
 		Timer:       config.Timer,
 		Log:         config.Log.WithName("view"),
 		Unreachable: v.clients.Unreachable,
+		DrainLimit:  config.DrainLimit,
 	})
 	v.store = store.New(store.Config{
 		Store:               config.Store,
