Decide the succession of a primary in one place, draining endpoints last

Cause: with synchronous replicas draining endpoints were candidates like all others.

A draining endpoint succeeds a lost primary only if no other may lead, and never a primary that is to be replaced. That one steps down only if another endpoint can take over, nearly up to date where replicas are synchronous; if none catches up, it leads again.

Evidence: the 144 cases of two replicas in "the successor of a primary" fail if draining endpoints are not ranked last, and if the end of the time for catching up ends the promise of synchronous replicas.

Ruled out: leaving draining endpoints out of the candidates. One of them may hold the only copy of an acknowledged commit.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -138,6 +138,8 @@
 	ID string
 	// ReceivedPosition is the last log position that the endpoint has received.
 	ReceivedPosition logpos.Position
+	// Draining is true if the endpoint is leaving.
+	Draining bool
 	// SameRegion is true if the endpoint is in the region of the database's old primary.
 	SameRegion bool
 }
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -181,3 +181,101 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("the successor of a primary", func() {
+	candidate := func(id string, index uint64, draining bool) takeover.Candidate {
+		return takeover.Candidate{
+			ID: id,
+			ReceivedPosition: logpos.Position{
+				Term:  3,
+				Index: index,
+			},
+			Draining: draining,
+		}
+	}
+
+	// forEach calls check for all positions and states of two replicas, of which each may
+	// respond or not.
+	forEach := func(check func(responded, all []takeover.Candidate)) {
+		for choice := range 6 * 6 * 4 {
+			a := candidate("a", uint64(choice%3), choice/3%2 == 1)
+			b := candidate("b", uint64(choice/6%3), choice/18%2 == 1)
+			var responded []takeover.Candidate
+			if choice/36%2 == 1 {
+				responded = append(responded, a)
+			}
+			if choice/72%2 == 1 {
+				responded = append(responded, b)
+			}
+			check(responded, []takeover.Candidate{a, b})
+		}
+	}
+
+	It("has each commit that a synchronous replica has confirmed, in all cases of a lost primary", func() {
+		// Guards against the loss of an acknowledged commit: it is on one of the replicas.
+		forEach(func(responded, all []takeover.Candidate) {
+			chosen, ok := takeover.ChooseAfterLoss(responded, len(all), 1)
+			if !ok {
+				return
+			}
+			for _, c := range all {
+				Expect(chosen.ReceivedPosition.Covers(c.ReceivedPosition)).To(BeTrue(), "%v of %v", chosen, all)
+			}
+		})
+	})
+
+	It("drains only if no other may lead, in all cases of a lost primary", func() {
+		// Guards against draining endpoints that are promoted in turn.
+		forEach(func(responded, all []takeover.Candidate) {
+			for _, syncReplicas := range []int{0, 1} {
+				chosen, ok := takeover.ChooseAfterLoss(responded, len(all), syncReplicas)
+				if !ok || !chosen.Draining {
+					continue
+				}
+				for _, c := range responded {
+					couldLead := !c.Draining && (syncReplicas == 0 || c.ReceivedPosition.Covers(chosen.ReceivedPosition))
+					Expect(couldLead).To(BeFalse(), "%v instead of %v", chosen, c)
+				}
+			}
+		})
+	})
+
+	It("does not drain and has the whole log if one has stepped down with synchronous replicas, or that one leads again", func() {
+		// Guards against a planned replacement that loses an acknowledged commit because a
+		// replica does not catch up, or that moves the lead to another draining endpoint.
+		primary := candidate("p", 2, true)
+		forEach(func(responded, _ []takeover.Candidate) {
+			for _, timeOver := range []bool{false, true} {
+				chosen, ok := takeover.ChooseAfterStepDown(primary, responded, 1, timeOver)
+				Expect(ok || !timeOver).To(BeTrue(), "a database without a primary")
+				if !ok || chosen.ID == primary.ID {
+					Expect(timeOver || !ok).To(BeTrue())
+					continue
+				}
+				Expect(chosen.Draining).To(BeFalse())
+				Expect(chosen.ReceivedPosition.Covers(primary.ReceivedPosition)).To(BeTrue())
+			}
+		})
+	})
+
+	It("has received most if one has stepped down without synchronous replicas", func() {
+		primary := candidate("p", 9, true)
+		others := []takeover.Candidate{candidate("a", 7, false), candidate("b", 8, false), candidate("c", 9, true)}
+		_, ok := takeover.ChooseAfterStepDown(primary, others, 0, false)
+		Expect(ok).To(BeFalse())
+		chosen, ok := takeover.ChooseAfterStepDown(primary, others, 0, true)
+		Expect(ok).To(BeTrue())
+		Expect(chosen.ID).To(Equal("b"))
+	})
+
+	DescribeTable("exists before a draining primary is told to step down",
+		// Guards against a database that has no primary for a while and then the same one.
+		func(syncReplicas int, other takeover.Candidate, expected bool) {
+			Expect(takeover.MayStepDown(candidate("p", 100, true), []takeover.Candidate{other}, syncReplicas)).To(Equal(expected))
+		},
+		Entry("up to date", 1, candidate("a", 99, false), true),
+		Entry("far behind a database with synchronous replicas", 1, candidate("a", 40, false), false),
+		Entry("far behind", 0, candidate("a", 40, false), true),
+		Entry("draining", 0, candidate("a", 100, true), false),
+	)
+})
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -99,6 +99,7 @@
 	suspectedKey         catalog.EndpointKey
 	verifyAfter          time.Duration
 	promotionRequestedAt time.Duration
+	switchoverAfter      time.Duration
 	lastPrimary          catalog.Endpoint
 	// replicaLastSeen holds the time at which each replica was last reported.
 	replicaLastSeen map[catalog.EndpointKey]time.Duration
@@ -204,7 +205,7 @@
 	}
 	state := takeover.DatabaseState{
 		PrimaryReported:       primaryReported,
-		PrimaryDraining:       primary.Draining,
+		PrimaryDraining:       primary.Draining && now >= d.switchoverAfter,
 		StoreHealthyFor:       m.config.StoreStatus.StoreHealthyFor(),
 		PromotionRequested:    d.promotionRequestedAt != 0,
 		SincePromotionRequest: now - d.promotionRequestedAt,
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -25,6 +25,9 @@
 	// catchUpTimeout is how long a switchover waits for a replica that has received the whole
 	// log of the primary that stepped down.
 	catchUpTimeout = 1500 * time.Millisecond
+	// switchoverRetryDelay is the delay after no endpoint could take over from a draining
+	// primary.
+	switchoverRetryDelay = 400 * time.Millisecond
 	// pollInterval is the time between two status queries while waiting for a replica to
 	// catch up or for a promotion to take effect.
 	pollInterval = 40 * time.Millisecond
@@ -33,14 +36,14 @@
 	promotionTimeout = 1600 * time.Millisecond
 )
 
-// replacePrimary promotes the responding endpoint with the highest received log position.
-// It promotes none if too few endpoints respond to be sure that one of them has received
-// each acknowledged commit.
+// replacePrimary promotes the responding endpoint that may succeed a lost primary. It promotes
+// none if too few endpoints respond to be sure that one of them has received each acknowledged
+// commit.
 func (m *Manager) replacePrimary(ctx context.Context, name string, old catalog.Endpoint, cause string) {
 	candidates := m.candidates(ctx, name, old)
 	replicas, syncReplicas := m.knownReplicas(name, old), m.syncReplicas(name)
-	chosen, ok := takeover.Choose(candidates)
-	if !ok || !takeover.CoversAcknowledgedCommits(len(candidates), replicas, syncReplicas) {
+	chosen, ok := takeover.ChooseAfterLoss(candidates, replicas, syncReplicas)
+	if !ok {
 		m.config.Log.Info("Too few endpoints responded to promote one safely.", "database", name, "cause", cause, "answered", len(candidates), "replicas", replicas,
 			"syncReplicas", syncReplicas)
 		return
@@ -49,18 +52,20 @@
 }
 
 // switchOver makes a draining primary step down, so that it acknowledges no more commits,
-// waits until another endpoint has received its whole log, and promotes that one. After
-// catchUpTimeout it promotes the endpoint with the highest received position.
+// waits until another endpoint has received its whole log, and promotes that one. If none has
+// within catchUpTimeout, takeover.ChooseAfterStepDown decides. It does nothing while no other
+// endpoint can take over.
 func (m *Manager) switchOver(ctx context.Context, name string, old catalog.Endpoint) {
-	if len(m.candidates(ctx, name, old)) == 0 {
-		m.config.Log.Info("No endpoint is available to replace a draining primary.", "database", name, "endpoint", old.Key.ID)
-		return
-	}
 	before, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.Status{})
 	if err != nil {
 		m.config.Log.Info("Could not read the term of a draining primary.", "database", name, "endpoint", old.Key.ID, "error", err.Error())
 		return
 	}
+	if !takeover.MayStepDown(m.candidate(old, before, old), m.candidates(ctx, name, old), m.syncReplicas(name)) {
+		m.config.Log.Info("No endpoint can take over from a draining primary yet.", "database", name, "endpoint", old.Key.ID)
+		m.postponeSwitchover(name)
+		return
+	}
 	after, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.StepDown{Term: max(before.Term, before.FencedTerm) + 1})
 	if err != nil {
 		m.config.Log.Info("A draining primary did not confirm that it stepped down.", "database", name, "endpoint", old.Key.ID, "error", err.Error())
@@ -70,15 +75,11 @@
 	m.config.View.RecordPromotion(name, "", false)
 	deadline := m.config.Timer.Now().Add(catchUpTimeout)
 	for {
-		chosen, ok := takeover.Choose(m.candidates(ctx, name, old))
-		caughtUp := ok && chosen.ReceivedPosition.Covers(after.ReceivedPosition)
-		if caughtUp || !m.config.Timer.Now().Before(deadline) {
-			if !ok {
-				m.config.Log.Info("No endpoint responded in time to be promoted after the primary stepped down.", "database", name)
-				return
-			}
+		timeOver := !m.config.Timer.Now().Before(deadline)
+		chosen, ok := takeover.ChooseAfterStepDown(m.candidate(old, after, old), m.candidates(ctx, name, old), m.syncReplicas(name), timeOver)
+		if ok {
 			m.config.Log.Info("A draining primary stepped down.", "database", name, "endpoint", old.Key.ID, "position", after.ReceivedPosition.String(),
-				"successor", chosen.ID, "received", chosen.ReceivedPosition.String(), "complete", caughtUp)
+				"successor", chosen.ID, "received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
 			m.promote(ctx, name, chosen, "the primary is draining")
 			return
 		}
@@ -88,6 +89,13 @@
 	}
 }
 
+// postponeSwitchover delays the next attempt to replace a draining primary.
+func (m *Manager) postponeSwitchover(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.databaseState(name).switchoverAfter = m.config.Timer.SinceBoot() + switchoverRetryDelay
+}
+
 // syncReplicas returns how many replicas must confirm a commit of the database before it
 // is acknowledged.
 func (m *Manager) syncReplicas(name string) int {
@@ -98,18 +106,15 @@
 	return c.Databases[name].SyncReplicas
 }
 
-// candidates queries the log positions of all members except the old primary. Draining
-// members are included only if the database has synchronous replicas, since a draining
-// one may be the only endpoint that holds an acknowledged commit.
+// candidates queries the log positions of all members except the old primary.
 func (m *Manager) candidates(ctx context.Context, name string, old catalog.Endpoint) []takeover.Candidate {
 	var (
 		mu         sync.Mutex
 		candidates []takeover.Candidate
 		probes     sync.WaitGroup
 	)
-	syncReplicas := m.syncReplicas(name)
 	for _, e := range m.config.View.Members(name) {
-		if e.Key == old.Key || (e.Draining && syncReplicas == 0) {
+		if e.Key == old.Key {
 			continue
 		}
 		probes.Go(func() {
@@ -120,17 +125,23 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			candidates = append(candidates, takeover.Candidate{
-				ID:               e.Key.ID,
-				ReceivedPosition: report.ReceivedPosition,
-				SameRegion:       m.config.View.Region(e.DataCentre) == m.config.View.Region(old.DataCentre),
-			})
+			candidates = append(candidates, m.candidate(e, report, old))
 		})
 	}
 	probes.Wait()
 	return candidates
 }
 
+// candidate returns an endpoint as a candidate to succeed the old primary.
+func (m *Manager) candidate(e catalog.Endpoint, report *endpoint.Report, old catalog.Endpoint) takeover.Candidate {
+	return takeover.Candidate{
+		ID:               e.Key.ID,
+		ReceivedPosition: report.ReceivedPosition,
+		Draining:         e.Draining,
+		SameRegion:       m.config.View.Region(e.DataCentre) == m.config.View.Region(old.DataCentre),
+	}
+}
+
 // promote requests a promotion, announces it to the fleet, and waits until the endpoint is
 // the primary.
 func (m *Manager) promote(ctx context.Context, name string, chosen takeover.Candidate, cause string) {
