Refuse forwarded statements that arrive after their VM has given them up

Noticed in the review: a home that was suspended ran a forwarded write up to its whole timeout after it went on, when its caller had been told long ago that the outcome is not known. The write could overwrite newer acknowledged ones of that caller.

Cause: the home counted the timeout from the moment in which it read the request, with a clock that stands still during a suspension.

Change: requests carry the sender's reading of the clock that includes suspensions; per connection the receiver knows the least difference from its own. The wait for a slot is checked with the same clock.

Evidence: "a request that arrives late" (engine/peer) and "are not run after a suspension that outlasts their timeout" (engine/endpoint); the latter was seen to fail without the check, the former needs the new field.

Ruled out: comparing the clocks of two VMs as they are; their origins differ. Rejecting what was read just after a pause of the process: a pause cannot be told from a busy processor.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -274,6 +274,7 @@
 		return s.config.Home.Run(ctx, request), nil
 	}
 	result := &peer.RunResponse{}
+	request.SentAt = s.config.View.SinceBoot()
 	if err := s.config.Peers.Call(ctx, home, "Run", request, result, request.Timeout+networkMargin); err != nil {
 		return nil, err
 	}
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -98,10 +98,15 @@
 	if err != nil {
 		return err
 	}
-	arrived := e.config.Timer.Now()
+	arrived, arrivedBoot := e.config.Timer.Now(), e.config.Timer.SinceBoot()
 	if err := e.awaitSlot(ctx, item, admitted, deadline); err != nil {
 		return err
 	}
+	if e.config.Timer.SinceBoot()-arrivedBoot >= deadline.Sub(arrived) {
+		// This VM was suspended, which the deadline does not include.
+		e.releaseSlot(item, false)
+		return refusal.NewNotRun(refusal.QueueTimeout, "the VM was suspended until the timeout of the statement was over")
+	}
 	if waited := e.config.Timer.Now().Sub(arrived); waited > slowWaitThreshold {
 		e.config.Log.V(1).Info("A statement waited for a slot.", "request", request.ID, "endpoint", e.target.Key.ID,
 			"database", e.target.Database, "workspace", request.Workspace, "waited", waited.String())
--- a/engine/endpoint/home_test.go
+++ b/engine/endpoint/home_test.go
@@ -122,6 +122,26 @@
 		close(fake.holdReads)
 	})
 
+	It("are not run after a suspension that outlasts their timeout", func() {
+		// Guards against a write that overwrites newer ones of its caller, who was told long
+		// ago that its outcome is not known.
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home = newHomeWithClock(fake, clock)
+		fake.holdReads = make(chan struct{})
+		for range 3 {
+			go home.Run(ctx, request(peer.StepSingle, "READ x"))
+		}
+		Eventually(func() int { return strings.Count(strings.Join(fake.commands(), " "), "READ x") }).Should(Equal(3))
+		result := make(chan *peer.RunResponse, 1)
+		subscribers := clock.Subscribers()
+		go func() { result <- home.Run(ctx, request(peer.StepSingle, "WRITE a b")) }()
+		Eventually(clock.Subscribers).Should(BeNumerically(">", subscribers))
+		clock.Suspend(time.Second)
+		close(fake.holdReads)
+		expectRefused(<-result, refusal.NotRun, refusal.QueueTimeout)
+		Expect(fake.commands()).NotTo(ContainElement("WRITE a b"))
+	})
+
 	It("are refused immediately if the last attempt to connect failed a moment ago", func() {
 		// Guards against statements that each wait for another attempt to connect to a
 		// lost endpoint, and against refusals that go on after the endpoint is back.
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -210,6 +210,7 @@
 	v := s.config.View
 	request := &peer.GossipRequest{
 		From:       v.Self(),
+		SentAt:     v.SinceBoot(),
 		WholeFleet: s.deltaFailed.Load(),
 		FarConfig:  s.config.Store.SinceLastUpdate() >= crossRegionDelay && len(s.config.Store.Readers()) == 0,
 		Leaving:    s.leaving.Load(),
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -95,6 +95,8 @@
 	Fenced bool
 	// Timeout is the remaining time for the statement.
 	Timeout time.Duration
+	// SentAt is the calling VM's reading of SinceBoot at which it sent the request.
+	SentAt time.Duration
 	// Priority orders the statements of one workspace in the queue of the endpoint; 0 is
 	// the most urgent.
 	Priority int
@@ -138,6 +140,8 @@
 // contains only newer data.
 type GossipRequest struct {
 	From catalog.VM
+	// SentAt is the requesting VM's reading of SinceBoot at which it sent the request.
+	SentAt time.Duration
 	// FarConfig requests a newer configuration even if the responding VM is in another
 	// region.
 	FarConfig bool
--- a/engine/peer/peer_test.go
+++ b/engine/peer/peer_test.go
@@ -325,3 +325,36 @@
 		Eventually(p.vm.rolledBackTransactions).Should(Equal([]peer.TransactionKey{open}))
 	})
 })
+
+var _ = Describe("a request that arrives late", func() {
+	sentAt := func(at time.Duration, text string) *peer.RunRequest {
+		return &peer.RunRequest{
+			Text:    text,
+			Timeout: 2 * time.Second,
+			SentAt:  at,
+		}
+	}
+
+	It("is not run, because its VM has given it up", func() {
+		// Guards against a write that a VM runs when it goes on after a suspension, long after
+		// the caller was told that its outcome is not known.
+		p := newPair()
+		now := timer.NewSystem().SinceBoot()
+		_, err := p.run(sentAt(now+time.Hour, "first"), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		result, err := p.run(sentAt(now+time.Hour-700*time.Millisecond, "late"), time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Refused).To(HaveField("Outcome", refusal.NotRun))
+		Expect(p.vm.lastRun.Text).To(Equal("first"))
+	})
+
+	It("is run if the delay is short, or unknown", func() {
+		p := newPair()
+		now := timer.NewSystem().SinceBoot()
+		for _, request := range []*peer.RunRequest{sentAt(0, "earlier build"), sentAt(now, "first"), sentAt(now-300*time.Millisecond, "slow")} {
+			result, err := p.run(request, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Refused).To(BeNil(), request.Text)
+		}
+	})
+})
--- a/engine/peer/server.go
+++ b/engine/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/timer"
 )
@@ -92,6 +93,7 @@
 	service := &connectionService{
 		ctx:              ctx,
 		handler:          s.config.Handler,
+		timer:            s.config.Timer,
 		log:              s.config.Log,
 		openTransactions: map[TransactionKey]struct{}{},
 	}
@@ -116,8 +118,10 @@
 type connectionService struct {
 	ctx     context.Context
 	handler Handler
+	timer   timer.Service
 	log     logr.Logger
 
+	delays           delays
 	mu               sync.Mutex
 	openTransactions map[TransactionKey]struct{}
 	disconnected     bool
@@ -130,6 +134,11 @@
 // transaction of the statement.
 func (s *connectionService) Run(request *RunRequest, reply *RunResponse) (err error) {
 	defer guard.RecoverTo(s.log, "Run", &err)
+	if delay := s.delays.add(s.timer.SinceBoot(), request.SentAt); request.isGivenUp(delay) {
+		s.log.Info("Refused a statement that arrived late.", "request", request.ID, "delay", delay.String())
+		reply.Refused = refusal.NewNotRun(refusal.QueueTimeout, "the request arrived after its VM had stopped waiting for it")
+		return nil
+	}
 	if request.Step == StepFirst {
 		s.mu.Lock()
 		s.openTransactions[request.Transaction] = struct{}{}
@@ -161,6 +170,7 @@
 // News handles a gossip request.
 func (s *connectionService) News(request *GossipRequest, reply *GossipResponse) (err error) {
 	defer guard.RecoverTo(s.log, "News", &err)
+	s.delays.add(s.timer.SinceBoot(), request.SentAt)
 	*reply = s.handler.News(request)
 	return nil
 }
