Let limits with a small burst admit their rate

Noticed in the review: a limit whose burst is below a tenth of its rate admitted nothing at all.

Cause: a tenth of the rate is left out of the buckets for loans on their way, so that the rest was zero, and a bucket without capacity never holds a token.

Change: a limit with a rate holds at least one token.

Evidence: two entries of "whose burst is below a tenth of the rate admit their rate" (engine/lending) admitted nothing before and 90% or more of the rate now, at most one request above rate x time + burst.

Ruled out: a smaller reserve for loans.

--- a/decision/limits/limits.go
+++ b/decision/limits/limits.go
@@ -39,9 +39,14 @@
 }
 
 // AssignableBurst returns the burst that the buckets of all VMs together may hold:
-// the burst without the tokens reserved for loans in transit (see LoanTimeout).
+// the burst without the tokens reserved for loans in transit (see LoanTimeout). A limit with a
+// rate holds at least one token; otherwise it would admit nothing.
 func (l Limit) AssignableBurst() float64 {
-	return max(float64(l.Burst)-l.Rate*LoanTimeout.Seconds(), 0)
+	least := 0.0
+	if l.Rate > 0 {
+		least = 1
+	}
+	return max(float64(l.Burst)-l.Rate*LoanTimeout.Seconds(), least)
 }
 
 // HolderCount returns the number of VMs that should hold shares of the limit.
--- a/engine/lending/lending_test.go
+++ b/engine/lending/lending_test.go
@@ -351,6 +351,23 @@
 		expectAdmitted(f.admitAll(name(0)), 0.9*burst*4/7-4, burst)
 	})
 
+	DescribeTable("whose burst is below a tenth of the rate admit their rate",
+		// Guards against a limit that refuses all requests.
+		func(size int, burst float64) {
+			const steep = 100
+			f := newFleet(size, steep, burst)
+			f.clock.Advance(10 * time.Second)
+			admitted := 0
+			for range 500 {
+				admitted += f.admitAll(name(0))
+				f.clock.Advance(10 * time.Millisecond)
+			}
+			expectAdmitted(admitted, 0.9*5*steep, 5*steep+burst+1)
+		},
+		Entry("at a VM without others", 1, 5.0),
+		Entry("without a burst", 1, 0.0),
+	)
+
 	It("refuse requests of a workspace that is not configured", func() {
 		f := newFleet(1, rate, burst)
 		refused, _ := refusal.As(f.limiters[name(0)].Admit(context.Background(), "other"))
