Ignore SIGHUP and SIGPIPE in the proxy of the own interface

Change: both signals are ignored from the first statement on. The settings are read only at the start, so there is nothing to reload.

--- a/loadtool/faults/control/leaving_test.go
+++ b/loadtool/faults/control/leaving_test.go
@@ -190,8 +190,9 @@
 	DescribeTable("G12: a graceful shutdown interrupts no request",
 		// Guards against a shutdown that cuts off a request, a stream or an open
 		// transaction, through the VM that leaves or through another one, and against
-		// shares that the leaving VM does not release.
-		func(ofHome bool) {
+		// shares that the leaving VM does not release. A SIGHUP may arrive before and during
+		// the shutdown.
+		func(ofHome, hangUp bool) {
 			leavingVM := d.VMs[1]
 			if ofHome {
 				leavingVM = d.homeOf(d.primary(database))
@@ -200,17 +201,23 @@
 			if otherVM == leavingVM {
 				otherVM = d.VMs[2]
 			}
-			s := d.startSessions(fmt.Sprintf("shutdown-%t", ofHome), balancer)
+			s := d.startSessions(fmt.Sprintf("shutdown-%t-%t", ofHome, hangUp), balancer)
 			sleep(time.Second)
 			requests := []*shutdownRequests{
 				d.startShutdownRequests(leavingVM, otherVM, database, "through the VM, then another"),
 				d.startShutdownRequests(leavingVM, leavingVM, "register-2", "through the VM"),
 				d.startShutdownRequests(otherVM, otherVM, database, "through another"),
 			}
+			if hangUp {
+				Expect(leavingVM.HangUp()).To(Succeed())
+			}
 			sleep(300 * time.Millisecond)
 			startedAt := clock.Now()
 			Expect(leavingVM.Terminate()).To(Succeed())
 			sleep(500 * time.Millisecond)
+			if hangUp {
+				Expect(leavingVM.HangUp()).To(Succeed())
+			}
 			for _, r := range requests {
 				r.commit()
 			}
@@ -235,8 +242,9 @@
 			Expect(d.WaitReady(context.Background(), leavingVM)).To(Succeed())
 			sleep(time.Second)
 		},
-		Entry("of any VM", false),
-		Entry("of the home of a primary", true),
+		Entry("of any VM", false, false),
+		Entry("of the home of a primary", true, false),
+		Entry("of any VM that gets SIGHUP", false, true),
 	)
 })
 
--- a/loadtool/harness/process.go
+++ b/loadtool/harness/process.go
@@ -63,6 +63,11 @@
 	return p.command.ProcessState.ExitCode()
 }
 
+// HangUp sends SIGHUP, with which operators ask processes to read their settings again.
+func (p *Process) HangUp() error {
+	return p.signal(syscall.SIGHUP)
+}
+
 // Kill sends SIGKILL to the process and waits until it has ended.
 func (p *Process) Kill() error {
 	if err := p.signal(syscall.SIGKILL); err != nil {
--- a/proxy/main.go
+++ b/proxy/main.go
@@ -14,6 +14,9 @@
 )
 
 func main() {
+	// The settings are read only at the start. Without this, SIGHUP would end the process, also
+	// while it shuts down, and so would the end of the reader of its log.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	app := kingpin.New("amaranthdock", "A database proxy with session consistency.")
 	app.HelpFlag.Short('h')
 	file := app.Flag("settings", "YAML file with the settings of this process.").Required().ExistingFile()
