Keep the claims to shares of limits in one key that the leader writes

Each of 295 VMs had a key for its registration and one for its claim, and reads both after a mass start.

One key holds the names of all VMs with a claim, with the low bits of the incarnation of the process for which the claim was added. Only the leader writes it, by compare-and-swap: it adds the VMs that have registered, and removes those whose registration has been lapsed for long, under the condition that it is missing still. A VM that has registered but has no claim yet uses no shares. An observation starts anew after a gap in which a registration may have come and gone. A lapsed VM keeps the address under which it was known, so that it can lend.

Ruled out: claims below another prefix, read on demand only: all VMs demand them at a mass start. Keys by group of VMs, written by the VMs: they contend at the first start.

--- a/decision/limits/claim.go
+++ b/decision/limits/claim.go
@@ -12,8 +12,8 @@
 )
 
 // Standing is what a VM knows about its right to use its shares of limits. The shares belong to
-// the VMs with a claim in the store. A claim outlasts the registration: it is removed only by
-// a VM that has seen the registration lapsed for ClaimRetention.
+// the VMs with a claim in the store. A claim outlasts the registration: the leader removes it
+// once it has seen the registration lapsed for ClaimRetention.
 type Standing struct {
 	// SinceRegistered is the time since the last moment at which the registration certainly
 	// existed, measured with a clock that advances while the VM is suspended.
@@ -38,42 +38,51 @@
 	return int64(float64(share) * min(max(tolerance, 0), 1) / 2)
 }
 
+// minRegistration is the shortest time for which a VM that uses its shares is registered: the TTL
+// of a registration.
+const minRegistration = 4 * time.Second
+
+// Observation is a current read of the claims and the registrations. The times are readings of
+// a clock that advances while the VM is suspended.
+type Observation struct {
+	RequestedAt, RespondedAt time.Duration
+	// Lapsed are the VMs with a claim and without a registration.
+	Lapsed []string
+	// HearsMostNeighbours is that of Standing, for the VM that reads.
+	HearsMostNeighbours bool
+}
+
 // LapsedClaims tracks for how long the registrations of claims have been lapsed. The zero value
 // is empty.
 type LapsedClaims struct {
-	since map[string]lapse
+	// since is when each registration was certainly lapsed for the first time.
+	since       map[string]time.Duration
+	requestedAt time.Duration
 }
 
-// lapse is a claim without a registration.
-type lapse struct {
-	// revision is that of the claim; a new claim of the same VM has another one.
-	revision uint64
-	from     time.Duration
-}
-
-// Update records the claims without a registration, with their revisions, as they were read at
-// a reading of a clock that advances while the VM is suspended. It returns the VMs whose claims
-// may be removed.
-func (l *LapsedClaims) Update(now time.Duration, lapsed map[string]uint64, hearsMostNeighbours bool) []string {
+// Update records an observation, and returns the VMs whose claims may be removed. It starts anew
+// after a gap in which a VM may have registered and lapsed again.
+func (l *LapsedClaims) Update(o Observation) []string {
 	retention := UnheardClaimRetention
-	if hearsMostNeighbours {
+	if o.HearsMostNeighbours {
 		retention = ClaimRetention
 	}
+	if o.RespondedAt-l.requestedAt >= minRegistration {
+		l.since = nil
+	}
 	var ended []string
-	since := make(map[string]lapse, len(lapsed))
-	for name, revision := range lapsed {
-		current, ok := l.since[name]
-		if !ok || current.revision != revision {
-			current = lapse{
-				revision: revision,
-				from:     now,
-			}
+	since := make(map[string]time.Duration, len(o.Lapsed))
+	for _, name := range o.Lapsed {
+		from, ok := l.since[name]
+		if !ok {
+			from = o.RespondedAt
 		}
-		since[name] = current
-		if now-current.from >= retention {
+		since[name] = from
+		if o.RequestedAt-from >= retention {
 			ended = append(ended, name)
 		}
 	}
 	l.since = since
+	l.requestedAt = o.RequestedAt
 	return ended
 }
--- a/decision/limits/claim_test.go
+++ b/decision/limits/claim_test.go
@@ -34,31 +34,66 @@
 })
 
 var _ = Describe("LapsedClaims", func() {
-	lapsed := map[string]uint64{"vm1": 7}
-	const observed = 100 * time.Second
+	const first = 100 * time.Second
+
+	// observe lets l observe the state of vm1 every second from one time until another, and
+	// returns the claims that may be removed at the end.
+	observe := func(l *limits.LapsedClaims, from, until time.Duration, lapsed, hears bool) []string {
+		var ended []string
+		for at := from; at <= until; at += time.Second {
+			o := limits.Observation{
+				RequestedAt:         at,
+				RespondedAt:         at,
+				HearsMostNeighbours: hears,
+			}
+			if lapsed {
+				o.Lapsed = []string{"vm1"}
+			}
+			ended = l.Update(o)
+		}
+		return ended
+	}
 
 	It("ends a claim only after its retention", func() {
 		// Guards against shares that others use while a VM that is cut off does so, too.
 		var l limits.LapsedClaims
-		Expect(l.Update(observed, lapsed, true)).To(BeEmpty())
-		Expect(l.Update(observed+limits.ClaimRetention-time.Millisecond, lapsed, true)).To(BeEmpty())
-		Expect(l.Update(observed+limits.ClaimRetention, lapsed, true)).To(ConsistOf("vm1"))
+		Expect(observe(&l, first, first+limits.ClaimRetention-time.Second, true, true)).To(BeEmpty())
+		Expect(observe(&l, first+limits.ClaimRetention, first+limits.ClaimRetention, true, true)).To(ConsistOf("vm1"))
+	})
+
+	It("counts from the end of the first read to the begin of the last", func() {
+		var l limits.LapsedClaims
+		l.Update(limits.Observation{
+			RequestedAt:         first - time.Second,
+			RespondedAt:         first + time.Second,
+			Lapsed:              []string{"vm1"},
+			HearsMostNeighbours: true,
+		})
+		Expect(observe(&l, first+time.Second, first+limits.ClaimRetention, true, true)).To(BeEmpty())
+		Expect(observe(&l, first+limits.ClaimRetention+time.Second, first+limits.ClaimRetention+time.Second, true, true)).To(ConsistOf("vm1"))
 	})
 
 	It("waits longer while most neighbours are not heard", func() {
 		var l limits.LapsedClaims
-		l.Update(observed, lapsed, false)
-		Expect(l.Update(observed+limits.ClaimRetention, lapsed, false)).To(BeEmpty())
-		Expect(l.Update(observed+limits.UnheardClaimRetention, lapsed, false)).To(ConsistOf("vm1"))
+		Expect(observe(&l, first, first+limits.UnheardClaimRetention-time.Second, true, false)).To(BeEmpty())
+		Expect(observe(&l, first+limits.UnheardClaimRetention, first+limits.UnheardClaimRetention, true, false)).To(ConsistOf("vm1"))
 	})
 
 	It("starts anew when the VM has registered in between", func() {
-		// Guards against the removal of a new process's claim.
+		// Guards against the removal of the claim of a VM that has used its shares since.
+		var l limits.LapsedClaims
+		observe(&l, first, first+4*time.Second, true, true)
+		observe(&l, first+5*time.Second, first+5*time.Second, false, true)
+		Expect(observe(&l, first+6*time.Second, first+5*time.Second+limits.ClaimRetention, true, true)).To(BeEmpty())
+		Expect(observe(&l, first+6*time.Second+limits.ClaimRetention, first+6*time.Second+limits.ClaimRetention, true, true)).To(ConsistOf("vm1"))
+	})
+
+	It("starts anew when the VM may have registered in between", func() {
+		// Guards against a leader that was cut off from the store or suspended.
 		var l limits.LapsedClaims
-		l.Update(observed, lapsed, true)
-		l.Update(observed+5*time.Second, nil, true)
-		Expect(l.Update(observed+limits.ClaimRetention, lapsed, true)).To(BeEmpty())
-		Expect(l.Update(observed+limits.ClaimRetention+time.Second, map[string]uint64{"vm1": 9}, true)).To(BeEmpty())
-		Expect(l.Update(observed+2*limits.ClaimRetention, map[string]uint64{"vm1": 9}, true)).To(BeEmpty())
+		observe(&l, first, first+9*time.Second, true, true)
+		resumed := first + 13*time.Second
+		Expect(observe(&l, resumed, resumed+limits.ClaimRetention-time.Second, true, true)).To(BeEmpty())
+		Expect(observe(&l, resumed+limits.ClaimRetention, resumed+limits.ClaimRetention, true, true)).To(ConsistOf("vm1"))
 	})
 })
--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -135,8 +135,10 @@
 	// Revision is the store's revision of the registration.
 	Revision uint64
 	// Lapsed means that the VM has no registration any more, but still a claim to its shares
-	// of limits.
+	// of limits. The address of such a VM is known only if it was seen registered.
 	Lapsed bool
+	// Unclaimed means that the VM is registered, but has no claim to shares of limits yet.
+	Unclaimed bool
 }
 
 // Same reports whether two registrations differ in their revisions at most.
--- a/engine/catalog/digest.go
+++ b/engine/catalog/digest.go
@@ -29,9 +29,14 @@
 	_, _ = fmt.Fprintln(digest, v.Leader)
 	for _, name := range slices.Sorted(maps.Keys(v.ByName)) {
 		vm := v.ByName[name]
-		_, _ = fmt.Fprintf(digest, "%s %s %s %s %d\n", name, vm.DataCentre, vm.Region, vm.Address, vm.Incarnation)
 		if vm.Lapsed {
-			_, _ = fmt.Fprintln(digest, "lapsed")
+			// What is known about such a VM differs from VM to VM.
+			_, _ = fmt.Fprintln(digest, name, "lapsed")
+			continue
+		}
+		_, _ = fmt.Fprintf(digest, "%s %s %s %s %d\n", name, vm.DataCentre, vm.Region, vm.Address, vm.Incarnation)
+		if vm.Unclaimed {
+			_, _ = fmt.Fprintln(digest, "unclaimed")
 		}
 	}
 	return digest.Sum64()
--- a/engine/lending/claims_test.go
+++ b/engine/lending/claims_test.go
@@ -30,9 +30,9 @@
 	// storeDown is set during an outage of the store, in which leases may lapse.
 	storeDown, leasesLapse bool
 	revision               uint64
-	// registered holds when registrations expire, and claims the revisions of claims.
+	// registered holds when registrations expire.
 	registered map[string]time.Duration
-	claims     map[string]uint64
+	claims     map[string]bool
 }
 
 // modelVM is one VM and what it knows.
@@ -50,7 +50,7 @@
 		fleet:      newFleet(size, rate, burst),
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		registered: map[string]time.Duration{},
-		claims:     map[string]uint64{},
+		claims:     map[string]bool{},
 	}
 	m.fleet.views = map[string]*catalog.VMSnapshot{}
 	for i := range size {
@@ -60,6 +60,7 @@
 		}
 		m.vms = append(m.vms, v)
 		m.register(v)
+		m.claims[v.name] = true
 	}
 	for _, v := range m.vms {
 		m.read(v)
@@ -71,11 +72,10 @@
 	return m
 }
 
-// register writes the registration and the claim of a VM.
+// register writes the registration of a VM.
 func (m *claimModel) register(v *modelVM) {
 	m.revision++
 	m.registered[v.name] = m.now + registrationTTL
-	m.claims[v.name] = m.revision
 	v.registeredAt, v.renewAt = m.now, m.now+renewalInterval
 }
 
@@ -85,19 +85,27 @@
 		Revision: m.revision,
 		ByName:   map[string]catalog.VM{},
 	}
-	for claimed, revision := range m.claims {
-		_, registered := m.registered[claimed]
-		list.ByName[claimed] = catalog.VM{
-			Name:     claimed,
-			Revision: revision,
-			Lapsed:   !registered,
+	for registered := range m.registered {
+		list.ByName[registered] = catalog.VM{
+			Name:      registered,
+			Unclaimed: !m.claims[registered],
+		}
+	}
+	for claimed := range m.claims {
+		if _, registered := m.registered[claimed]; !registered {
+			list.ByName[claimed] = catalog.VM{
+				Name:   claimed,
+				Lapsed: true,
+			}
 		}
 	}
 	v.list, v.readAt = list, m.now
-	m.removeClaims(v)
+	if v == m.leader() {
+		m.updateClaims(v)
+	}
 }
 
-// leader returns the VM that removes claims: the first that reaches the store.
+// leader returns the VM that adds and removes claims: the first that reaches the store.
 func (m *claimModel) leader() *modelVM {
 	for _, v := range m.vms {
 		if m.reachesStore(v) {
@@ -122,23 +130,26 @@
 	return 2*heard > len(v.list.ByName)-1
 }
 
-func (m *claimModel) removeClaims(v *modelVM) {
-	lapsed := map[string]uint64{}
-	for listed, vm := range v.list.ByName {
-		if vm.Lapsed {
-			lapsed[listed] = vm.Revision
-		}
+// updateClaims lets the leader add and remove claims after a read.
+func (m *claimModel) updateClaims(v *modelVM) {
+	o := limits.Observation{
+		RequestedAt:         m.now,
+		RespondedAt:         m.now,
+		HearsMostNeighbours: m.hearsMost(v),
 	}
-	ended := v.lapsed.Update(m.now, lapsed, m.hearsMost(v))
-	if v != m.leader() {
-		return
-	}
-	for _, listed := range ended {
-		if _, registered := m.registered[listed]; !registered && m.claims[listed] == lapsed[listed] {
+	for listed, vm := range v.list.ByName {
+		switch {
+		case vm.Lapsed:
+			o.Lapsed = append(o.Lapsed, listed)
+		case vm.Unclaimed:
 			m.revision++
-			delete(m.claims, listed)
+			m.claims[listed] = true
 		}
 	}
+	for _, listed := range v.lapsed.Update(o) {
+		m.revision++
+		delete(m.claims, listed)
+	}
 }
 
 // step lets the VMs act once.
@@ -338,6 +349,29 @@
 		}
 	})
 
+	It("admits nothing on a VM that has no claim yet, nor for 2 s after", func() {
+		// Guards against a share that a VM uses before those that hold it know.
+		f := newFleet(2, 70, 70)
+		withClaim := f.vms
+		joining := withClaim.ByName[name(1)]
+		joining.Unclaimed = true
+		f.vms = &catalog.VMSnapshot{ByName: map[string]catalog.VM{
+			name(0): withClaim.ByName[name(0)],
+			name(1): joining,
+		}}
+		f.start = limits.Joined{}
+		f.restart(name(1), 0.1)
+		f.cut[name(1)] = true
+		f.clock.Advance(10 * time.Second)
+		Expect(f.admitAll(name(1))).To(BeZero())
+		f.vms = withClaim
+		Expect(f.admitAll(name(1))).To(BeZero())
+		f.clock.Advance(1900 * time.Millisecond)
+		Expect(f.admitAll(name(1))).To(BeZero())
+		f.clock.Advance(time.Second)
+		Expect(f.admitAll(name(1))).To(BeNumerically("~", 0.9*70/2, 2))
+	})
+
 	It("goes on in a long outage of the store", func() {
 		// Guards against VMs that stop using their shares although no VM could take them over.
 		m := newClaimModel(1, 7, rate, burst)
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -89,8 +89,8 @@
 	workspaces map[string]*workspaceState
 	// bucketsEmptyAt is the latest time at which the buckets of this process were empty.
 	bucketsEmptyAt time.Time
-	// registeredSince is when this VM first appeared in the fleet.
-	registeredSince time.Time
+	// claimedSince is when this VM first appeared in the fleet with a claim.
+	claimedSince time.Time
 }
 
 // New returns a Limiter whose buckets start empty and fill from the end of the previous
@@ -234,7 +234,8 @@
 	for i := 0; i < len(holders) && borrowed == 0; i++ {
 		lender = (first + i) % len(holders)
 		vm := holders[lender]
-		if vm.Name == l.config.Fleet.Self().Name || l.config.Peers.Unreachable(vm.Name) {
+		addressUnknown := vm.Lapsed && !vm.Address.IsValid()
+		if vm.Name == l.config.Fleet.Self().Name || addressUnknown || l.config.Peers.Unreachable(vm.Name) {
 			continue
 		}
 		var response peer.LoanResponse
--- a/engine/lending/lending_test.go
+++ b/engine/lending/lending_test.go
@@ -91,12 +91,11 @@
 
 func newFleet(size int, rate, burst float64) *fakeFleet {
 	f := &fakeFleet{
-		clock:    timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)}),
-		limiters: map[string]*lending.Limiter{},
-		down:     map[string]bool{},
-		cut:      map[string]bool{},
-		start:    limits.Resumed{},
-		// Each VM may use its shares unless a test says otherwise.
+		clock:     timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)}),
+		limiters:  map[string]*lending.Limiter{},
+		down:      map[string]bool{},
+		cut:       map[string]bool{},
+		start:     limits.Resumed{},
 		uncertain: map[string]bool{},
 	}
 	f.configureLimit(rate, burst)
--- a/engine/lending/share.go
+++ b/engine/lending/share.go
@@ -1,7 +1,6 @@
 package lending
 
 import (
-	"maps"
 	"time"
 
 	"amaranthdock.dev/decision/limits"
@@ -101,11 +100,11 @@
 // assignShare assigns this VM's share of a changed limit or in a changed fleet, and resizes
 // the bucket.
 func (l *Limiter) assignShare(name string, w *workspaceState, now time.Time, change shareChange) {
-	if _, registered := w.fleet.ByName[l.config.Fleet.Self().Name]; registered && l.registeredSince.IsZero() {
-		l.registeredSince = now
+	if self, ok := w.fleet.ByName[l.config.Fleet.Self().Name]; ok && !self.Unclaimed && l.claimedSince.IsZero() {
+		l.claimedSince = now
 	}
 	previous, share := w.holding.Share(), l.share(w)
-	first := !w.assigned && (w.unregistered > 0 || !l.registeredSince.IsZero())
+	first := !w.assigned && (w.unregistered > 0 || !l.claimedSince.IsZero())
 	emptyAt, resumes := l.initialBucket(w, now)
 	resumes = resumes && first
 	switch {
@@ -145,7 +144,7 @@
 		if l.startsFleet(w) {
 			return now, true
 		}
-		emptyAt = l.registeredSince.Add(limits.HandoverDelay)
+		emptyAt = l.claimedSince.Add(limits.HandoverDelay)
 		return emptyAt, !now.Before(emptyAt)
 	default:
 		return time.Time{}, false
@@ -195,8 +194,15 @@
 
 // shareHolders returns the VMs that hold the shares of a workspace's limit.
 func shareHolders(name string, count int, fleet *catalog.VMSnapshot) []catalog.VM {
+	claiming := func(yield func(string) bool) {
+		for name, vm := range fleet.ByName {
+			if !vm.Unclaimed && !yield(name) {
+				return
+			}
+		}
+	}
 	holders := make([]catalog.VM, 0, count)
-	for _, vm := range routing.First(name, maps.Keys(fleet.ByName), count) {
+	for _, vm := range routing.First(name, claiming, count) {
 		holders = append(holders, fleet.ByName[vm])
 	}
 	return holders
--- a/engine/store/claim.go
+++ b/engine/store/claim.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
 	"amaranthdock.dev/decision/limits"
 	"amaranthdock.dev/engine/catalog"
 )
@@ -12,6 +15,79 @@
 // maxRemovedClaims bounds the number of claims that are removed by one change.
 const maxRemovedClaims = 10
 
+// claims holds the VMs with a claim, by region and name. The value identifies the process for
+// which the claim was added: the claim of a later process of the VM is that of a predecessor.
+type claims map[string]map[string]uint16
+
+// claimProcess returns the value of a claim that is added for a process.
+func claimProcess(incarnation uint64) uint16 { return uint16(incarnation & 0xffff) }
+
+// find returns the process for which the claim of a VM was added; false if there is no claim.
+func (c claims) find(name string) (uint16, bool) {
+	for _, vms := range c {
+		if process, ok := vms[name]; ok {
+			return process, true
+		}
+	}
+	return 0, false
+}
+
+func (c claims) add(vm catalog.VM) {
+	if c[vm.Region] == nil {
+		c[vm.Region] = map[string]uint16{}
+	}
+	c[vm.Region][vm.Name] = claimProcess(vm.Incarnation)
+}
+
+func (c claims) remove(name string) {
+	for _, vms := range c {
+		delete(vms, name)
+	}
+}
+
+// decodeClaims adds the claims to a read, and marks the VMs without a registration or without a
+// claim.
+func (s *Syncer) decodeClaims(items []Item, read *fleetRead) {
+	i := slices.IndexFunc(items, func(item Item) bool { return item.Key == claimsKey })
+	if i < 0 {
+		return
+	}
+	read.claimsRevision = items[i].Revision
+	decoded := claims{}
+	if err := json.Unmarshal(items[i].Value, &decoded); err != nil {
+		s.config.Log.Info("Could not decode the claims.", "error", err.Error())
+		return
+	}
+	read.claims = decoded
+	vms := read.vms.ByName
+	for name, vm := range vms {
+		if _, claimed := decoded.find(name); !claimed {
+			vm.Unclaimed = true
+			vms[name] = vm
+		}
+	}
+	for region, names := range decoded {
+		for name := range names {
+			if _, registered := vms[name]; !registered {
+				vms[name] = catalog.VM{
+					Name:     name,
+					Region:   region,
+					Revision: read.claimsRevision,
+					Lapsed:   true,
+				}
+			}
+		}
+	}
+}
+
+// resumeClaim records whether this process, which is registered, has the claim of a predecessor.
+func (s *Syncer) resumeClaim(read *fleetRead) {
+	self := s.config.View.Self()
+	if process, ok := read.claims.find(self.Name); ok && process != claimProcess(self.Incarnation) {
+		s.registrationKept.Store(true)
+	}
+}
+
 // MayUseShares reports whether this VM may use its shares of limits.
 func (s *Syncer) MayUseShares() bool {
 	return limits.Standing{
@@ -21,39 +97,76 @@
 	}.MayUseShares()
 }
 
-// removeEndedClaims removes the claims of VMs whose registration has been lapsed for long. The
-// leader does that for all VMs. The data may be stale: the change has the condition that the
-// VM has not registered again.
-func (s *Syncer) removeEndedClaims(ctx context.Context, vms *catalog.VMSnapshot) {
-	lapsed := map[string]uint64{}
-	for name, vm := range vms.ByName {
-		if vm.Lapsed {
-			lapsed[name] = vm.Revision
+// updateClaims adds the claims of VMs that have registered, and removes those of VMs whose
+// registration has been lapsed for long. Only the leader does that. It returns true if the next
+// read has to be current and soon.
+func (s *Syncer) updateClaims(ctx context.Context, read *fleetRead) bool {
+	if read.vms.Leader != s.config.View.Self().Name {
+		return false
+	}
+	var added, lapsed, ended []string
+	for name, vm := range read.vms.ByName {
+		switch {
+		case vm.Lapsed:
+			lapsed = append(lapsed, name)
+		case vm.Unclaimed || read.claims == nil:
+			added = append(added, name)
 		}
 	}
-	ended := s.lapsedClaims.Update(s.config.Timer.SinceBoot(), lapsed, s.config.HearsMostNeighbours())
-	if len(ended) == 0 || vms.Leader != s.config.View.Self().Name {
-		return
+	if !read.stale {
+		ended = s.lapsedClaims.Update(limits.Observation{
+			RequestedAt:         read.requestedAt,
+			RespondedAt:         read.respondedAt,
+			Lapsed:              lapsed,
+			HearsMostNeighbours: s.config.HearsMostNeighbours(),
+		})
+	}
+	if len(added) == 0 && len(ended) == 0 {
+		return len(lapsed) > 0
 	}
 	slices.Sort(ended)
-	change := Change{}
-	for _, name := range ended[:min(len(ended), maxRemovedClaims)] {
-		change.Conditions = append(change.Conditions,
-			Condition{
-				Key:      claimPrefix + name,
-				Revision: lapsed[name],
-			},
-			Condition{Key: vmPrefix + name})
-		change.Removals = append(change.Removals, claimPrefix+name)
+	if err := s.writeClaims(ctx, read, added, ended[:min(len(ended), maxRemovedClaims)]); err != nil {
+		s.config.Log.Info("Could not update the claims to shares of limits.", "error", err.Error())
+	}
+	return true
+}
+
+// writeClaims adds and removes claims, under the condition that nobody else has done so and that
+// the VMs whose claims are removed have not registered again.
+func (s *Syncer) writeClaims(ctx context.Context, read *fleetRead, added, ended []string) error {
+	changed := read.claims
+	if changed == nil {
+		changed = claims{}
+	}
+	for _, name := range added {
+		changed.add(read.vms.ByName[name])
+	}
+	change := Change{Conditions: []Condition{{
+		Key:      claimsKey,
+		Revision: read.claimsRevision,
+	}}}
+	for _, name := range ended {
+		changed.remove(name)
+		change.Conditions = append(change.Conditions, Condition{Key: vmPrefix + name})
+	}
+	value, err := json.Marshal(changed)
+	if err != nil {
+		return eris.Wrap(err, "encode the claims")
 	}
+	change.Writes = []Write{{
+		Key:   claimsKey,
+		Value: value,
+	}}
 	requestedAt := s.config.Timer.SinceBoot()
-	_, err := s.config.Store.Commit(ctx, change)
+	_, err = s.config.Store.Commit(ctx, change)
 	if errors.Is(err, ErrConflict) {
-		// A VM has registered again.
-		err = nil
+		s.recordCall(requestedAt, nil)
+		return nil
 	}
 	s.recordCall(requestedAt, err)
-	if err == nil {
-		s.config.Log.Info("Removed claims to shares of limits.", "vms", change.Removals, "lapsed", len(lapsed))
+	if err != nil {
+		return err
 	}
+	s.config.Log.Info("Updated the claims to shares of limits.", "added", len(added), "removed", ended)
+	return nil
 }
--- a/engine/store/claim_test.go
+++ b/engine/store/claim_test.go
@@ -1,34 +1,50 @@
 package store_test
 
 import (
+	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/timer"
 )
 
-// claimOthers writes registrations of other VMs under a lease, and their claims.
-func (f *fixture) claimOthers(lease uint64, names ...string) {
+// writeClaims writes the claims of VMs of the region a, with the processes for which they were
+// added.
+func (f *fixture) writeClaims(processes map[string]uint16) {
 	GinkgoHelper()
-	f.registerOthers(lease, names...)
-	var change store.Change
-	for _, name := range names {
-		change.Writes = append(change.Writes, store.Write{
-			Key:   "amaranthdock/claims/" + name,
-			Value: []byte(validRegistration),
-		})
-	}
-	_, err := f.fake.Commit(f.ctx, change)
+	value, err := json.Marshal(map[string]map[string]uint16{"a": processes})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = f.fake.Commit(f.ctx, store.Change{Writes: []store.Write{{
+		Key:   "amaranthdock/claims",
+		Value: value,
+	}}})
 	Expect(err).NotTo(HaveOccurred())
 }
 
-// claims returns the claims in the store.
+// claims returns the VMs with a claim in the store.
 func (f *fixture) claims() []string {
-	return slices.Sorted(slices.Values(f.fake.keys("amaranthdock/claims/")))
+	GinkgoHelper()
+	item, ok, err := f.fake.Get(f.ctx, "amaranthdock/claims")
+	Expect(err).NotTo(HaveOccurred())
+	if !ok {
+		return nil
+	}
+	claims := map[string]map[string]uint16{}
+	Expect(json.Unmarshal(item.Value, &claims)).To(Succeed())
+	return slices.Sorted(maps.Keys(claims["a"]))
+}
+
+// registration returns what this VM knows about the registration and the claim of a VM.
+func (f *fixture) registration(vm string) catalog.VM {
+	registrations, _ := f.view.Registrations()
+	return registrations.ByName[vm]
 }
 
 var _ = Describe("a claim to shares of limits", func() {
@@ -60,39 +76,70 @@
 	BeforeEach(func() {
 		clock = timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
 		f = newFixtureWithTimer(clock)
-		f.claimOthers(lease, "vm1")
+		f.registerOthers(lease, "vm1")
+		f.writeClaims(map[string]uint16{"vm1": 5})
 		go f.syncer.Register(f.ctx)
 		go f.syncer.FollowFleet(f.ctx)
 		advance(2 * time.Second)
-		Expect(f.claims()).To(Equal([]string{"amaranthdock/claims/self", "amaranthdock/claims/vm1"}))
 		Expect(f.fleet()).To(ConsistOf("self", "vm1"))
 	})
 
 	It("outlasts the registration, without which the VM is no home any more", func() {
 		// Guards against shares of a VM that cannot be heard that go to others at once.
+		Expect(f.registration("vm1")).To(HaveField("Lapsed", false))
 		f.fake.expireLease(lease)
 		advance(3 * time.Second)
 		Expect(f.fleet()).To(ConsistOf("self"))
-		registrations, _ := f.view.Registrations()
-		Expect(registrations.ByName).To(HaveKeyWithValue("vm1", HaveField("Lapsed", true)))
-		Expect(registrations.ByName).To(HaveKeyWithValue("self", HaveField("Lapsed", false)))
+		Expect(f.registration("vm1")).To(And(HaveField("Lapsed", true), HaveField("Region", "a")))
+	})
+
+	It("is added by the leader for each VM that registers", func() {
+		// Guards against a VM that never gets shares.
+		Expect(f.registration("self")).To(HaveField("Unclaimed", true))
+		Expect(f.claims()).To(Equal([]string{"vm1"}))
+		lead()
+		advance(4 * time.Second)
+		Expect(f.claims()).To(Equal([]string{"self", "vm1"}))
+		Expect(f.registration("self")).To(HaveField("Unclaimed", false))
+		f.registerOthers(lease+1, "vm2")
+		advance(4 * time.Second)
+		Expect(f.claims()).To(Equal([]string{"self", "vm1", "vm2"}))
 	})
 
 	It("is removed by the leader once the registration has been lapsed for long", func() {
 		// Guards against shares of a VM that is gone for good and that nobody ever uses.
 		lead()
+		advance(4 * time.Second)
 		f.fake.expireLease(lease)
 		advance(9 * time.Second)
 		Expect(f.claims()).To(HaveLen(2))
 		advance(6 * time.Second)
-		Expect(f.claims()).To(Equal([]string{"amaranthdock/claims/self"}))
+		Expect(f.claims()).To(Equal([]string{"self"}))
 		registrations, _ := f.view.Registrations()
 		Expect(registrations.ByName).NotTo(HaveKey("vm1"))
 	})
 
+	It("is not removed if the VM registers at the same time", func() {
+		// Guards against shares that others use although the VM may use them, too.
+		lead()
+		advance(4 * time.Second)
+		f.fake.expireLease(lease)
+		f.fake.set(func() { f.fake.delayNextCommit = true })
+		var delayed store.Change
+		for delayed.Writes == nil {
+			advance(250 * time.Millisecond)
+			f.fake.set(func() { delayed = f.fake.delayed })
+		}
+		f.registerOthers(lease+1, "vm1")
+		_, err := f.fake.Commit(f.ctx, delayed)
+		Expect(err).To(MatchError(store.ErrConflict))
+	})
+
 	It("is not removed by another VM, or while the VM is registered", func() {
+		lead()
 		advance(30 * time.Second)
 		Expect(f.claims()).To(HaveLen(2))
+		f.fake.set(func() { delete(f.fake.items, store.LeaderKey) })
 		f.fake.expireLease(lease)
 		advance(30 * time.Second)
 		Expect(f.claims()).To(HaveLen(2))
@@ -102,6 +149,7 @@
 		// Guards against a leader that is cut off from the fleet and ends the claims of the VMs
 		// that go on without the store.
 		lead()
+		advance(4 * time.Second)
 		f.isolated.Store(true)
 		f.fake.expireLease(lease)
 		advance(50 * time.Second)
@@ -110,6 +158,24 @@
 		Expect(f.claims()).To(HaveLen(1))
 	})
 
+	It("is read again before it is written by a leader whose data was stale", func() {
+		// Guards against claims that another leader has added and that are lost.
+		advance(4 * time.Second)
+		items, revision, err := f.fake.Range(f.ctx, "amaranthdock/", false)
+		Expect(err).NotTo(HaveOccurred())
+		f.writeClaims(map[string]uint16{
+			"vm1": 5,
+			"vm2": 6,
+		})
+		lead()
+		f.fake.set(func() {
+			f.fake.serveOldReads, f.fake.oldRevision = true, revision
+			f.fake.oldItems = append(items, f.fake.items[store.LeaderKey])
+		})
+		advance(6 * time.Second)
+		Expect(f.claims()).To(Equal([]string{"self", "vm1", "vm2"}))
+	})
+
 	It("allows the use of shares until it may have been removed", func() {
 		f.isolated.Store(true)
 		Expect(f.syncer.MayUseShares()).To(BeTrue())
@@ -123,6 +189,22 @@
 	})
 })
 
+var _ = Describe("a process whose VM has a claim but no registration", func() {
+	DescribeTable("resumes its shares only if the claim was added for an earlier process",
+		// Guards against 2 s of refusals after a start, and against a process that joins and uses
+		// shares that others still hold.
+		func(process uint16, expected limits.Start) {
+			f := newFixture()
+			f.writeClaims(map[string]uint16{"self": process})
+			go f.syncer.Register(f.ctx)
+			go f.syncer.FollowFleet(f.ctx)
+			Eventually(f.syncer.Start).WithTimeout(2 * time.Second).Should(Equal(expected))
+		},
+		Entry("an earlier one", uint16(7), limits.Resumed{}),
+		Entry("this one", uint16(1), limits.NewFleet{}),
+	)
+})
+
 var _ = Describe("a registration that the store carries out late", func() {
 	It("does not replace a later one", func() {
 		// Guards against a key that hangs on a lease that nobody renews, while the VM renews
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -20,9 +20,9 @@
 const (
 	fleetPrefix = "amaranthdock/"
 	vmPrefix    = fleetPrefix + "vms/"
-	// claimPrefix is followed by the name of a VM. The key holds the VM's registration without
-	// a lease. While it exists, the VM's shares of limits are not given to others.
-	claimPrefix = fleetPrefix + "claims/"
+	// claimsKey holds the names of all VMs with a claim to shares of limits. One key instead
+	// of one for each VM keeps the read of the fleet short.
+	claimsKey = fleetPrefix + "claims"
 	// LeaderKey holds the name of the leader, the VM that requests promotions.
 	LeaderKey = fleetPrefix + "leader"
 	// FencingTokenPrefix is followed by the name of a database. The key holds the fencing
@@ -120,18 +120,12 @@
 	// the first one shows that it existed before.
 	s.registrationTried = true
 	change := Change{
-		Conditions: []Condition{{Key: vmPrefix + self.Name}, {Key: claimPrefix + self.Name}},
-		Writes: []Write{
-			{
-				Key:   vmPrefix + self.Name,
-				Value: value,
-				Lease: lease,
-			},
-			{
-				Key:   claimPrefix + self.Name,
-				Value: value,
-			},
-		},
+		Conditions: []Condition{{Key: vmPrefix + self.Name}},
+		Writes: []Write{{
+			Key:   vmPrefix + self.Name,
+			Value: value,
+			Lease: lease,
+		}},
 	}
 	for attempt := 1; ; attempt++ {
 		// All registrations have conditions, so that one whose response was lost is not
@@ -147,7 +141,6 @@
 			return 0, err
 		}
 		if first {
-			// A VM of an earlier build has a registration without a claim.
 			s.registrationKept.Store(true)
 		}
 		first = false
@@ -266,35 +259,68 @@
 			}
 			stale = false
 		}
-		requestedAt := s.config.Timer.SinceBoot()
-		items, revision, err := s.config.Store.Range(ctx, fleetPrefix, stale)
-		s.recordCall(requestedAt, err)
-		if err == nil && stale && s.seenRevisions.isStale(requestedAt, revision) {
-			requestedAt = s.config.Timer.SinceBoot()
-			items, revision, err = s.config.Store.Range(ctx, fleetPrefix, false)
-			s.recordCall(requestedAt, err)
-		}
+		read, err := s.readFleet(ctx, stale)
 		if err != nil {
 			backoff.sleep(ctx)
 			continue
 		}
 		backoff.reset()
-		s.seenRevisions.add(s.config.Timer.SinceBoot(), revision)
-		vms := s.decodeRegistrations(items, revision)
-		own, known := vms.ByName[s.config.View.Self().Name]
+		own, known := read.vms.ByName[s.config.View.Self().Name]
 		registered := known && !own.Lapsed
-		if registered && !stale {
+		if registered && !read.stale {
 			// The registration may still be that of the previous process of this VM, whose
 			// claim this process takes over.
-			storeMax(&s.registeredAt, int64(requestedAt))
+			storeMax(&s.registeredAt, int64(read.requestedAt))
+			s.resumeClaim(read)
+		}
+		interval := s.nextPollInterval()
+		observes := s.updateClaims(ctx, read)
+		if observes {
+			interval = s.withJitter(pollInterval)
 		}
-		s.removeEndedClaims(ctx, vms)
-		s.retainLapsed(vms)
-		s.config.View.AcceptVMs(vms, "store")
+		s.retainLapsed(read.vms)
+		s.config.View.AcceptVMs(read.vms, "store")
+		requested := s.awaitFleetRequest(ctx, interval)
 		// A stale read could lack this VM's own registration, so reads are current
 		// until it has appeared.
-		stale = registered && !s.awaitFleetRequest(ctx, s.nextPollInterval())
+		stale = registered && !requested && !observes
+	}
+}
+
+// fleetRead is one read of the registrations, the claims and the leader's key.
+type fleetRead struct {
+	vms *catalog.VMSnapshot
+	// claims is nil if there are none or if they cannot be decoded.
+	claims         claims
+	claimsRevision uint64
+	// requestedAt and respondedAt are readings of SinceBoot.
+	requestedAt, respondedAt time.Duration
+	stale                    bool
+}
+
+func (s *Syncer) readFleet(ctx context.Context, stale bool) (*fleetRead, error) {
+	requestedAt := s.config.Timer.SinceBoot()
+	items, revision, err := s.config.Store.Range(ctx, fleetPrefix, stale)
+	s.recordCall(requestedAt, err)
+	if err == nil && stale && s.seenRevisions.isStale(requestedAt, revision) {
+		stale = false
+		requestedAt = s.config.Timer.SinceBoot()
+		items, revision, err = s.config.Store.Range(ctx, fleetPrefix, false)
+		s.recordCall(requestedAt, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	respondedAt := s.config.Timer.SinceBoot()
+	s.seenRevisions.add(respondedAt, revision)
+	read := &fleetRead{
+		vms:         s.decodeRegistrations(items, revision),
+		requestedAt: requestedAt,
+		respondedAt: respondedAt,
+		stale:       stale,
 	}
+	s.decodeClaims(items, read)
+	return read, nil
 }
 
 // awaitFleetRequest waits for a time, or for a call of RefreshFleet. It returns true if there was
@@ -335,9 +361,8 @@
 			vms.Leader = string(item.Value)
 			continue
 		}
-		name, registered := strings.CutPrefix(item.Key, vmPrefix)
-		name, claimed := strings.CutPrefix(name, claimPrefix)
-		if _, known := vms.ByName[name]; !registered && (!claimed || known) {
+		name, ok := strings.CutPrefix(item.Key, vmPrefix)
+		if !ok {
 			continue
 		}
 		r, err := decodeRegistration(name, item.Value)
@@ -352,7 +377,6 @@
 			Address:     r.Address,
 			Incarnation: r.Incarnation,
 			Revision:    item.Revision,
-			Lapsed:      !registered,
 		}
 	}
 	return vms
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -100,7 +100,8 @@
 	// registeredAt is the last time at which the store held a registration of this VM; 0 if it
 	// never did since the process started.
 	registeredAt atomic.Int64
-	// lapsedClaims are the claims whose registrations have lapsed. Only FollowFleet uses it.
+	// lapsedClaims are the claims whose registrations have lapsed, while this VM leads. Only
+	// FollowFleet uses it.
 	lapsedClaims limits.LapsedClaims
 	// meanLatency is the moving average of the time that a read of the reports takes, in
 	// nanoseconds.
--- a/engine/view/fleet.go
+++ b/engine/view/fleet.go
@@ -63,14 +63,20 @@
 		v.deletionsKnownFrom = vms.Revision
 	}
 	for name, vm := range vms.ByName {
-		// The claim of a VM whose registration lapses is older than the registration.
-		if before, ok := current.ByName[name]; vm.Lapsed && ok {
-			vm.Revision = vms.Revision
-			if before.Lapsed {
-				vm.Revision = before.Revision
-			}
-			vms.ByName[name] = vm
+		before, ok := current.ByName[name]
+		if !ok {
+			continue
+		}
+		if vm.Lapsed && before.Address.IsValid() {
+			vm.DataCentre, vm.Region, vm.Address, vm.Incarnation = before.DataCentre, before.Region, before.Address, before.Incarnation
+		}
+		if before.Same(vm) {
+			vm.Revision = max(before.Revision, vm.Revision)
+		} else {
+			// The registration itself may be older than the change of its claim.
+			vm.Revision = max(vms.Revision, vm.Revision)
 		}
+		vms.ByName[name] = vm
 	}
 	if sameFleet(current, vms) && current.Revision != 0 {
 		return
--- a/engine/view/fleet_test.go
+++ b/engine/view/fleet_test.go
@@ -68,6 +68,39 @@
 		Entry("from one in which a VM was registered already", uint64(17), registered("a", 3), registered("c", 15)),
 	)
 
+	It("include claims that come and go after the registration", func() {
+		// Guards against VMs that do not agree on the holders of shares of limits.
+		unclaimed, lapsed := registered("a", 3), catalog.VM{
+			Name:     "c",
+			Revision: 21,
+			Lapsed:   true,
+		}
+		unclaimed.Unclaimed = true
+		f.AcceptVMs(registrations(30, unclaimed, lapsed), "test")
+		f.AcceptVMs(registrations(40, registered("a", 3), lapsed), "test")
+		current, _ := f.Registrations()
+		for revision, older := range map[uint64][]catalog.VM{
+			20: {registered("a", 3), registered("c", 15)},
+			30: {unclaimed, lapsed},
+		} {
+			delta, _ := f.RegistrationsSince(revision)
+			delta.Digest = current.Digest()
+			_, ok := delta.Apply(registrations(revision, older...))
+			Expect(ok).To(BeTrue(), "from revision %d", revision)
+		}
+	})
+
+	It("keep the address of a VM whose registration lapses", func() {
+		// Guards against requests that are refused although a VM that only the store turns away
+		// could lend tokens.
+		f.AcceptVMs(registrations(30, registered("a", 3), catalog.VM{
+			Name:   "c",
+			Lapsed: true,
+		}), "test")
+		current, _ := f.Registrations()
+		Expect(current.ByName["c"]).To(And(HaveField("Address", registered("c", 15).Address), HaveField("Lapsed", true)))
+	})
+
 	It("are unknown before the first registrations that this VM has read", func() {
 		_, ok := f.RegistrationsSince(9)
 		Expect(ok).To(BeFalse())
