Correct the comment on the fleet of the limits

Cause: since the fleet also holds VMs that are registered but have no claim yet; the comment named those with a claim only.

Change: the comment. Ruled out: leaving VMs without a claim out of this fleet, because a VM must see itself there to know that its claim is to come.

--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -192,12 +192,12 @@
 	})
 }
 
-// claimingFleet is the fleet for the limits: the VMs with a claim to shares of limits,
-// registered or not. VMs agree on them, whereas each VM knows by itself from which VMs it has
+// claimingFleet is the fleet for the limits: the registered VMs, and those that have only a claim
+// to shares of limits. VMs agree on them, whereas each VM knows by itself from which VMs it has
 // received a message.
 type claimingFleet struct{ *view.View }
 
-// VMs returns the VMs with a claim.
+// VMs returns the VMs that are registered or have a claim.
 func (f claimingFleet) VMs() *catalog.VMSnapshot {
 	registrations, _ := f.Registrations()
 	return registrations
