Ask for the neighbours' state only when the registration may be gone

Cause: MayUseShares runs for each operation, and asked first whether most neighbours are heard, which takes a lock for each of them. The answer matters only once the registration may have lapsed for as long as claims are retained.

Change: it is asked only then. The result is the same, since hearing neighbours can only allow the use. Ruled out: caching the answer, which would be a second state that can be old.

--- a/engine/store/claim.go
+++ b/engine/store/claim.go
@@ -90,11 +90,16 @@
 
 // MayUseShares reports whether this VM may use its shares of limits.
 func (s *Syncer) MayUseShares() bool {
-	return limits.Standing{
-		SinceRegistered:     s.since(s.registeredAt.Load()),
-		RegistrationTTL:     registrationTTL,
-		HearsMostNeighbours: s.config.HearsMostNeighbours(),
-	}.MayUseShares()
+	standing := limits.Standing{
+		SinceRegistered: s.since(s.registeredAt.Load()),
+		RegistrationTTL: registrationTTL,
+	}
+	if standing.MayUseShares() {
+		return true
+	}
+	// This takes a lock for each neighbour, too much for each operation of a registered VM.
+	standing.HearsMostNeighbours = s.config.HearsMostNeighbours()
+	return standing.MayUseShares()
 }
 
 // updateClaims adds the claims of VMs that have registered, and removes those of VMs whose
