Use one cache type for the neighbours in the fleet and in the registrations

Cause: neighbours and HearsMostNeighbours had the same cache written out twice.

Change: neighbourCache serves both, like digestCache. Behaviour is the same. Ruled out: one cache for both, because the two lists of VMs differ.

--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -98,12 +98,10 @@
 	mu              sync.Mutex
 	endpointsDigest digestCache[*catalog.EndpointSnapshot]
 	vmsDigest       digestCache[*catalog.VMSnapshot]
-	// rankedNeighbours caches the neighbours in neighbourFleet, and claimNeighbours those in
-	// claimFleet, which holds lapsed registrations, too.
-	neighbourFleet   *catalog.VMSnapshot
-	rankedNeighbours []catalog.VM
-	claimFleet       *catalog.VMSnapshot
-	claimNeighbours  []catalog.VM
+	// fleetNeighbours caches the neighbours in the fleet, and claimNeighbours those in the
+	// registrations, which include lapsed ones.
+	fleetNeighbours neighbourCache
+	claimNeighbours neighbourCache
 }
 
 // snapshot is data of the store that is identified by its pointer and has a digest.
--- a/engine/gossip/neighbours.go
+++ b/engine/gossip/neighbours.go
@@ -7,17 +7,26 @@
 	"amaranthdock.dev/engine/catalog"
 )
 
+// neighbourCache holds the neighbours of a VM in one fleet.
+type neighbourCache struct {
+	of         *catalog.VMSnapshot
+	neighbours []catalog.VM
+}
+
+// get returns the neighbours in a fleet and selects them if the fleet is another one.
+func (c *neighbourCache) get(self catalog.VM, fleet *catalog.VMSnapshot) []catalog.VM {
+	if c.of != fleet {
+		c.of, c.neighbours = fleet, rankNeighbours(self, fleet)
+	}
+	return c.neighbours
+}
+
 // neighbours returns the available VMs among the neighbours of this VM, or all other VMs if
 // none of the neighbours is available.
 func (s *Service) neighbours() []catalog.VM {
 	v := s.config.View
-	fleet := v.VMs()
 	s.mu.Lock()
-	if s.neighbourFleet != fleet {
-		s.neighbourFleet = fleet
-		s.rankedNeighbours = rankNeighbours(v.Self(), fleet)
-	}
-	ranked := s.rankedNeighbours
+	ranked := s.fleetNeighbours.get(v.Self(), v.VMs())
 	s.mu.Unlock()
 	available := make([]catalog.VM, 0, len(ranked))
 	for _, vm := range ranked {
@@ -57,11 +66,7 @@
 func (s *Service) HearsMostNeighbours() bool {
 	registrations, _ := s.config.View.Registrations()
 	s.mu.Lock()
-	if s.claimFleet != registrations {
-		s.claimFleet = registrations
-		s.claimNeighbours = rankNeighbours(s.config.View.Self(), registrations)
-	}
-	neighbours := s.claimNeighbours
+	neighbours := s.claimNeighbours.get(s.config.View.Self(), registrations)
 	s.mu.Unlock()
 	heard := 0
 	for _, vm := range neighbours {
