Share the result of a refused begin

Cause: a fenced read and the first step of a transaction turned the refusal of their begin into a result with the same three lines.

Change: notRunResult serves both. Behaviour is the same. Ruled out: setting the outcome in refusalFromReply, which other callers need as the endpoint gave it.

Measured: engine/endpoint and the lint pass.

--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -206,9 +206,7 @@
 	if refused := replies[0].Err; refused != nil {
 		// The read ran outside of a transaction, so its reply proves nothing.
 		client.put(c, refused.Code == NotPrimary)
-		failed := refusalFromReply(refused)
-		failed.Outcome = refusal.NotRun
-		return refusedResult(failed), false
+		return notRunResult(refused), false
 	}
 	client.put(c, true)
 	return resultFromReply(replies[1], true), false
--- a/engine/endpoint/result.go
+++ b/engine/endpoint/result.go
@@ -58,6 +58,14 @@
 	return &peer.RunResponse{Refused: e}
 }
 
+// notRunResult returns the result of a statement that was not run, because the endpoint refused
+// the begin of its transaction.
+func notRunResult(e *ReplyError) *peer.RunResponse {
+	refused := refusalFromReply(e)
+	refused.Outcome = refusal.NotRun
+	return refusedResult(refused)
+}
+
 // errorResult returns a result with the refusal in err, or an internal error.
 func errorResult(err error) *peer.RunResponse {
 	if e, ok := refusal.As(err); ok {
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -83,9 +83,7 @@
 	}
 	t.connection = c
 	if refused := replies[0].Err; refused != nil {
-		failed := refusalFromReply(refused)
-		failed.Outcome = refusal.NotRun
-		return refusedResult(failed)
+		return notRunResult(refused)
 	}
 	if request.Text == "" {
 		return &peer.RunResponse{Position: replies[0].Position}
