--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -34,6 +34,11 @@
 	Primary    bool
 	// Slots is how many statements the endpoint runs at the same time.
 	Slots int
+	// Capacity is how many statements the endpoint runs well at the same time, as its home has
+	// learned; 0 if that is not known, and Slots applies.
+	Capacity int
+	// Penalty is added to the cost of the endpoint.
+	Penalty time.Duration
 	// InFlight is how many statements of this VM are queued or running at the endpoint.
 	InFlight int
 	// ServiceTime is the mean time in which the endpoint runs a statement.
@@ -91,7 +96,11 @@
 	for age := c.ReportAge; age >= reportedWaitHalfLife && cost > 0; age -= reportedWaitHalfLife {
 		cost /= 2
 	}
-	cost += c.ServiceTime * time.Duration(c.InFlight) / time.Duration(max(c.Slots, 1))
+	capacity := c.Slots
+	if c.Capacity > 0 {
+		capacity = c.Capacity
+	}
+	cost += c.ServiceTime*time.Duration(c.InFlight)/time.Duration(max(capacity, 1)) + c.Penalty
 	switch {
 	case c.Region != from.Region:
 		cost += crossRegionRTT + crossRegionPenalty
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -72,6 +72,8 @@
 	Transaction bool
 	// Priority orders the items of one subject; 0 is the most urgent.
 	Priority int
+	// Target is the time until which a caller is well served; zero if there is none.
+	Target time.Time
 }
 
 // Queue orders the statements of one endpoint.
--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -49,6 +49,11 @@
 	// MaxStaleness is the largest staleness of the data that a read returns; 0 if it must
 	// not be stale.
 	MaxStaleness time.Duration
+	// TargetLatency is the latency of an operation up to which callers are well served; 0 if
+	// there is none.
+	TargetLatency time.Duration
+	// Regions are the regions in which the route's statements may run.
+	Regions Regions
 }
 
 // Database is a group of endpoints that replicate one log.
@@ -59,6 +64,9 @@
 	MaxConnections int
 	// SyncReplicas is how many replicas confirm a commit before it is acknowledged.
 	SyncReplicas int
+	// ColdRate is the number of requests a second that a cold endpoint takes; 0 if there is no
+	// limit.
+	ColdRate float64
 }
 
 // Workspace is a tenant with its own keys and a rate limit that holds for all VMs
@@ -68,6 +76,8 @@
 	// RatePerSecond and Burst are in requests.
 	RatePerSecond float64
 	Burst         float64
+	// Regions are the regions in which the workspace's statements may run.
+	Regions Regions
 }
 
 // Configuration is one version of the configuration that operators declare.
@@ -114,6 +124,9 @@
 	// draining primary is replaced.
 	Draining bool
 	Role     Role
+	// ColdFor is how long the endpoint stays slow after its start, counted from the report; 0
+	// if it is warm.
+	ColdFor time.Duration
 	// Reports counts the endpoint's reports since its start.
 	Reports uint64
 }
@@ -124,6 +137,21 @@
 	ByID     map[string]Endpoint
 }
 
+// Evacuations is one revision of the data centres that operators have taken out of use.
+type Evacuations struct {
+	// Revision is the store's revision up to which the set is known.
+	Revision    uint64
+	DataCentres map[string]bool
+}
+
+// VMSize is what a VM can carry.
+type VMSize struct {
+	// Cores is the number of processor cores, or the share of one.
+	Cores float64
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s.
+	LinkMbps float64
+}
+
 // VM is a VM of the fleet as it registered itself.
 type VM struct {
 	Name       string
--- a/engine/catalog/digest.go
+++ b/engine/catalog/digest.go
@@ -18,6 +18,9 @@
 		// Writes to a hash never fail.
 		_, _ = fmt.Fprintf(digest, "%d %s %s %s %s %d %t %d\n", endpoint.Key.Born.UnixMilli(), id, endpoint.Database, endpoint.Address,
 			endpoint.DataCentre, endpoint.Slots, endpoint.Draining, endpoint.Role)
+		if endpoint.ColdFor > 0 {
+			_, _ = fmt.Fprintln(digest, "cold", endpoint.ColdFor)
+		}
 	}
 	return digest.Sum64()
 }
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -100,6 +100,11 @@
 	// Priority orders the statements of one workspace in the queue of the endpoint; 0 is
 	// the most urgent.
 	Priority int
+	// Target is the time left until the target latency of the operation; 0 if there is none, and
+	// negative if it has passed.
+	Target time.Duration
+	// Regions are the regions in which the statement may run.
+	Regions catalog.Regions
 }
 
 // RunResponse is the response to RunRequest.
@@ -120,6 +125,20 @@
 	Age time.Duration
 	// ExpectedWait is the home's estimate of the wait for a slot at the endpoint.
 	ExpectedWait time.Duration
+	// Report is what the home knows about the endpoint.
+	Report EndpointReport
+}
+
+// EndpointReport is what the home of an endpoint tells the VMs that send statements to it.
+type EndpointReport struct {
+	// Capacity is the number of statements that the endpoint runs well at the same time; 0 if
+	// it is not known.
+	Capacity int
+	// Ejected means that reads which may run elsewhere should avoid the endpoint, because it
+	// fails too many statements.
+	Ejected bool
+	// BudgetWait is how long until a cold endpoint may get another statement.
+	BudgetWait time.Duration
 }
 
 // LoanRequest is the request to borrow tokens of a workspace's rate limit.
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -52,8 +52,23 @@
 	DrainLimit time.Duration
 	// LimitTolerance is the fraction of a workspace's limit by which the fleet may exceed
 	// it in any time window of length LimitWindow.
-	LimitTolerance      float64
-	LimitWindow         time.Duration
+	LimitTolerance float64
+	LimitWindow    time.Duration
+	// EvacuationLimit is the time after which an evacuated data centre may get no more statements;
+	// 0 if the deployment has no evacuations.
+	EvacuationLimit time.Duration
+	// ColdOverage and ColdSlack state how many requests a cold endpoint may get in one second:
+	// its rate times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+	// UrgencyAcrossWorkspaces orders the statements of all workspaces by urgency, instead of
+	// those of each workspace.
+	UrgencyAcrossWorkspaces bool
+	// Size is what this VM can carry.
+	Size catalog.VMSize
+	// MaxDescriptors and MemoryMiB are the limits of the process; 0 if they are not known.
+	MaxDescriptors      int
+	MemoryMiB           int64
 	Store               store.Store
 	ConfigurationSource store.ConfigurationSource
 	ReportSource        store.ReportSource
