Detect endpoints that fail a part of their statements and keep reads away from them

Cause: an endpoint that returns errors, resets connections or rejects statements while its health check passes kept getting its part of the reads, and such a primary stayed until its fault ended.

Change: the home of an endpoint records the outcomes of its statements (decision/outlier), refuses reads that have another endpoint while it is ejected, sends statements again after a busy reply, and reports a failing primary. Entry VMs send a failed read once more, within the retry budget and the rate limit. The leader replaces a failing primary if another VM has seen another endpoint of the database serve statements, at most once in 15 s. Ruled out: judging by status requests, which pass, and by entry VMs, which see less than one read a second of a database.

The new tests fail without the detector, the retries and the report.

--- a/decision/refusal/refusal.go
+++ b/decision/refusal/refusal.go
@@ -42,6 +42,7 @@
 	ConnectionLost      Reason = "connectionLost"
 	DeadlineExceeded    Reason = "deadlineExceeded"
 	DeadlineTooShort    Reason = "deadlineTooShort"
+	EndpointEjected     Reason = "endpointEjected"
 	EndpointLeaving     Reason = "endpointLeaving"
 	Internal            Reason = "internal"
 	InvalidRequest      Reason = "invalidRequest"
--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -23,6 +23,10 @@
 	PromotionCooldown = 1800 * time.Millisecond
 	// SuspicionTTL is how long a home's report that it cannot reach the primary is valid.
 	SuspicionTTL = 1500 * time.Millisecond
+	// FailingPrimaryCooldown is the least time between two replacements of primaries of one
+	// database that fail a part of their statements. It keeps promotions from following each
+	// other if all endpoints fail.
+	FailingPrimaryCooldown = 15 * time.Second
 )
 
 // DatabaseState is the state of one database as the leader, the VM that requests
@@ -32,6 +36,8 @@
 	PrimaryReported bool
 	// PrimaryDraining is true if this primary is draining, which means that it is leaving.
 	PrimaryDraining bool
+	// PrimaryFailing is true if this primary fails many of its statements.
+	PrimaryFailing bool
 	// PrimaryMissingFor is how long no primary has been reported.
 	PrimaryMissingFor time.Duration
 	// StoreHealthyFor is how long the store has responded to the leader without a
@@ -46,13 +52,17 @@
 	PromotionRequested    bool
 }
 
-// Decision is what the leader does about a primary: KeepPrimary, Switchover,
+// Decision is what the leader does about a primary: KeepPrimary, ReplaceFailing, Switchover,
 // VerifyPrimary or Failover.
 type Decision interface{ decision() }
 
 // KeepPrimary means that nothing is done at present.
 type KeepPrimary struct{}
 
+// ReplaceFailing means that a primary which fails many of its statements is replaced, once another
+// VM has confirmed that the fault lies in this endpoint.
+type ReplaceFailing struct{}
+
 // Switchover means that a draining primary is replaced in a planned way, without the loss
 // of a commit.
 type Switchover struct{}
@@ -63,10 +73,11 @@
 // Failover means that another endpoint is promoted at once.
 type Failover struct{}
 
-func (KeepPrimary) decision()   {}
-func (Switchover) decision()    {}
-func (VerifyPrimary) decision() {}
-func (Failover) decision()      {}
+func (KeepPrimary) decision()    {}
+func (ReplaceFailing) decision() {}
+func (Switchover) decision()     {}
+func (VerifyPrimary) decision()  {}
+func (Failover) decision()       {}
 
 // Decide returns what the leader does about a database's primary.
 func Decide(s DatabaseState) Decision {
@@ -86,6 +97,8 @@
 		return KeepPrimary{}
 	case s.PrimaryReported && s.PrimarySuspectedFor > 0:
 		return VerifyPrimary{}
+	case s.PrimaryReported && s.PrimaryFailing:
+		return ReplaceFailing{}
 	case s.PrimaryReported:
 		return KeepPrimary{}
 	case s.PrimaryMissingFor >= MissingPrimaryTimeout:
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -44,10 +44,13 @@
 	excluded map[string]bool
 	// primaryOnly is set once no replica is left that could serve the read.
 	primaryOnly bool
+	// failedOnce is set once the endpoint's error for a read was answered with a retry.
+	failedOnce  bool
 	lastRefusal *refusal.Error
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
+	s.manager.countRequest(auth.workspace)
 	return &dispatch{
 		session:  s,
 		auth:     auth,
@@ -131,6 +134,7 @@
 	d.request.After = logpos.Position{}
 	d.request.Fenced = false
 	d.request.ReadOnly = false
+	d.request.Alternatives = false
 	if !d.needsPrimary() {
 		if target, ok := d.chooseReplica(); ok {
 			d.request.ReadOnly = d.request.Step == peer.StepFirst
@@ -159,7 +163,9 @@
 		DataCentre: v.Self().DataCentre,
 		Region:     v.Self().Region,
 	}
-	id, ok := placement.Choose(from, required, v.Candidates(name, d.excluded))
+	candidates := v.Candidates(name, d.excluded)
+	id, ok := placement.Choose(from, required, candidates)
+	d.request.Alternatives = len(candidates) > 1
 	if !ok {
 		return catalog.Endpoint{}, false
 	}
@@ -178,6 +184,7 @@
 		QueueWait:     result.ExpectedWait,
 		Position:      result.Position,
 		ProvedPrimary: result.ProvedPrimary,
+		Ejected:       result.Report.Ejected,
 	}
 	if result.Refused == nil {
 		outcome.Duration = d.session.manager.config.Timer.Now().Sub(sentAt)
@@ -196,6 +203,10 @@
 	case refusal.ReplicaBehind:
 		outcome.MissingPosition = d.request.After
 		final = false
+	case refusal.EndpointEjected:
+		final = false
+	case refusal.StatementFailed:
+		final = !d.mayRetryFailedRead(ctx, result.Refused)
 	case refusal.Unreachable:
 		outcome.Unreachable = true
 		final = result.Refused.Outcome != refusal.NotRun
--- /dev/null
+++ b/engine/caller/retry.go
@@ -0,0 +1,39 @@
+package caller
+
+import (
+	"context"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/peer"
+)
+
+// countRequest adds an admitted statement to the retry budget of its workspace.
+func (s *SessionManager) countRequest(workspace string) {
+	s.retriesMu.Lock()
+	defer s.retriesMu.Unlock()
+	s.retryBudgets.CountRequest(workspace)
+}
+
+// takeRetry takes a retry from the budget of a workspace; false if the budget is used up.
+func (s *SessionManager) takeRetry(workspace string) bool {
+	s.retriesMu.Lock()
+	defer s.retriesMu.Unlock()
+	return s.retryBudgets.TakeRetry(workspace)
+}
+
+// mayRetryFailedRead reports whether a single read that the endpoint ran and failed is sent once
+// more, if possible to another endpoint. The statement counts as a further operation of its
+// workspace, because endpoints count what they run.
+func (d *dispatch) mayRetryFailedRead(ctx context.Context, refused *refusal.Error) bool {
+	isRead := d.request.Step == peer.StepSingle && !d.request.Write
+	if refused.Reason != refusal.StatementFailed || !isRead || d.failedOnce || d.remaining() < minSendTimeout {
+		return false
+	}
+	d.failedOnce = true
+	m := d.session.manager
+	if !m.takeRetry(d.auth.workspace) || m.admit(ctx, d.auth) != nil {
+		return false
+	}
+	m.failedReadRetries.Inc(1)
+	return true
+}
--- /dev/null
+++ b/engine/caller/retry_test.go
@@ -0,0 +1,62 @@
+package caller_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/engine/statement"
+)
+
+var _ = Describe("an endpoint's error", func() {
+	var f *fixture
+	failed := refusal.NewUnknown(refusal.StatementFailed, "FAILED")
+
+	BeforeEach(func() {
+		f = newFixture().start()
+		f.acceptSample(90)
+	})
+
+	It("for a read is followed by one attempt at another endpoint", func() {
+		// Guards against callers that get the errors of one endpoint although others serve.
+		f.fleet.respond = refuseAt(failed, "r1")
+		for range 3 {
+			expectServed(do(f.open("bounded"), statement.Read{}, "READ a"), statement.Idle)
+		}
+	})
+
+	It("for a read of a strict route is followed by one more attempt at the primary", func() {
+		f.fleet.respond = refuseAt(failed, "p")
+		expectRefused(do(f.open("strict"), statement.Read{}, "READ a"), refusal.Unknown, refusal.StatementFailed, statement.Idle)
+		Expect(f.fleet.steps()).To(Equal([]string{"p READ a", "p READ a"}))
+	})
+
+	It("for a write is final", func() {
+		// Guards against a write that takes effect twice.
+		f.fleet.respond = refuseAt(failed, "p")
+		expectRefused(do(f.open("strict"), statement.Write{}, "WRITE a b"), refusal.Unknown, refusal.StatementFailed, statement.Idle)
+		Expect(f.fleet.steps()).To(HaveLen(1))
+	})
+
+	It("for a read is final if the workspace has reached its rate limit", func() {
+		// Guards against endpoints that run more than the limit, since each attempt runs there.
+		admitted := false
+		f.fleet.respond = func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+			if r.Step != peer.StepPosition && !admitted {
+				admitted = true
+				f.fleet.admitRefusal = refusal.NewNotRun(refusal.RateExceeded, "limit")
+				return &peer.RunResponse{Refused: failed}, nil
+			}
+			return nil, nil
+		}
+		expectRefused(do(f.open("bounded"), statement.Read{}, "READ a"), refusal.Unknown, refusal.StatementFailed, statement.Idle)
+		Expect(f.fleet.steps()).To(HaveLen(1))
+	})
+
+	It("that its home has ejected sends the read to another endpoint", func() {
+		f.fleet.respond = refuseAt(refusal.NewNotRun(refusal.EndpointEjected, "ejected"), "r1", "r2")
+		expectServed(do(f.open("bounded"), statement.Read{}, "READ a"), statement.Idle)
+		Expect(f.fleet.lastRun().Alternatives).To(BeFalse())
+	})
+})
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/retries"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
@@ -70,13 +72,20 @@
 	ready atomic.Bool
 	// stopped is set by StopWork.
 	stopped atomic.Bool
+	// failedReadRetries counts the reads that were sent again after an error of the endpoint.
+	failedReadRetries metrics.Counter
+
+	retriesMu    sync.Mutex
+	retryBudgets *retries.Budgets
 }
 
 // New returns a SessionManager.
 func New(config Config) *SessionManager {
 	return &SessionManager{
-		config:           config,
-		statementMetrics: newStatementMetrics(config.Registry),
+		config:            config,
+		statementMetrics:  newStatementMetrics(config.Registry),
+		failedReadRetries: metrics.GetOrRegisterCounter("statements.failedReadRetries", config.Registry),
+		retryBudgets:      retries.NewBudgets(),
 	}
 }
 
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"amaranthdock.dev/decision/outlier"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/decision/staleness"
@@ -72,6 +73,10 @@
 	// statements after having been idle.
 	lastProgress time.Time
 	sample       staleness.Sample
+	// detector tells whether the endpoint fails a part of its statements; failingReportAt is when
+	// that was last reported.
+	detector        *outlier.Detector
+	failingReportAt time.Duration
 }
 
 func newEndpointClient(config *Config, target catalog.Endpoint) *endpointClient {
@@ -86,8 +91,9 @@
 			MaxWait:            maxQueueWait,
 			InitialServiceTime: initialServiceTime,
 		}),
-		waiters: map[uint64]chan error{},
-		inUse:   map[*pooledConnection]struct{}{},
+		waiters:  map[uint64]chan error{},
+		inUse:    map[*pooledConnection]struct{}{},
+		detector: outlier.New(),
 	}
 }
 
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/retries"
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
@@ -43,6 +44,8 @@
 	IsFirstHome func(catalog.Endpoint) bool
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
+	// ReportFailing is called for endpoints that fail many of their statements; may be nil.
+	ReportFailing func(catalog.Endpoint)
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -51,6 +54,10 @@
 	connectionsOpened metrics.Counter
 	statements        metrics.Counter
 	openTransactions  metrics.Gauge
+	// ejections counts how often an endpoint was ejected, and busyRetries the statements that were
+	// sent again after a busy reply.
+	ejections   metrics.Counter
+	busyRetries metrics.Counter
 }
 
 // Home holds the connections of this VM to the endpoints of which it is the home, and
@@ -63,6 +70,8 @@
 	mu           sync.Mutex
 	clients      map[catalog.EndpointKey]*endpointClient
 	transactions map[peer.TransactionKey]*transaction
+	// retryBudgets limits the statements that are sent again, by workspace.
+	retryBudgets *retries.Budgets
 }
 
 // New returns a Home without connections.
@@ -71,11 +80,14 @@
 		connectionsOpened: metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
 		statements:        metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
 		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
+		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
+		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
 	}
 	return &Home{
 		config:       config,
 		clients:      map[catalog.EndpointKey]*endpointClient{},
 		transactions: map[peer.TransactionKey]*transaction{},
+		retryBudgets: retries.NewBudgets(),
 	}
 }
 
@@ -86,6 +98,9 @@
 	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
+	if client, ok := h.existingClient(request.Endpoint); ok {
+		result.Report.Ejected = client.isEjected()
+	}
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
 		return result
 	}
@@ -159,6 +174,10 @@
 	if err != nil {
 		return errorResult(err)
 	}
+	if refused := client.admitRead(request); refused != nil {
+		return refusedResult(refused)
+	}
+	h.countRequest(request.Workspace)
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
 		for {
@@ -201,7 +220,7 @@
 	client.recordResponse()
 	if !request.Fenced {
 		client.put(c, true)
-		return resultFromReply(replies[0], request.Write), false
+		return resultFromReply(replies[0], request.Write), h.retriesBusy(ctx, request, replies[0].Err, deadline)
 	}
 	if refused := replies[0].Err; refused != nil {
 		// The read ran outside of a transaction, so its reply proves nothing.
@@ -209,7 +228,32 @@
 		return notRunResult(refused), false
 	}
 	client.put(c, true)
-	return resultFromReply(replies[1], true), false
+	return resultFromReply(replies[1], true), h.retriesBusy(ctx, request, replies[1].Err, deadline)
+}
+
+// countRequest adds a statement to the retry budget of its workspace.
+func (h *Home) countRequest(workspace string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retryBudgets.CountRequest(workspace)
+}
+
+// retriesBusy reports whether a statement is sent again because the endpoint was busy, which proves
+// that it has not run. A read that can run at another endpoint goes there instead. It waits for
+// busyRetryDelay before it returns true.
+func (h *Home) retriesBusy(ctx context.Context, request *peer.RunRequest, reply *ReplyError, deadline time.Time) bool {
+	if reply == nil || reply.Code != Busy || request.Alternatives || ctx.Err() != nil ||
+		deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+		return false
+	}
+	h.mu.Lock()
+	allowed := h.retryBudgets.TakeRetry(request.Workspace)
+	h.mu.Unlock()
+	if allowed {
+		h.config.Metrics.busyRetries.Inc(1)
+		h.waitBusyRetry()
+	}
+	return allowed
 }
 
 // minRetryTimeout is the least remaining time with which a request is retried.
--- /dev/null
+++ b/engine/endpoint/outlier_test.go
@@ -0,0 +1,94 @@
+package endpoint_test
+
+import (
+	"context"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/endpoint"
+	"amaranthdock.dev/engine/peer"
+)
+
+var _ = Describe("an endpoint that fails its statements while it responds", func() {
+	ctx := context.Background()
+	var (
+		fake *fakeEndpoint
+		home *endpoint.Home
+	)
+
+	// run runs a read of one of several workspaces.
+	run := func(i int, alternatives bool) *peer.RunResponse {
+		return home.Run(ctx, request(peer.StepSingle, "READ a", func(r *peer.RunRequest) {
+			r.Workspace = fmt.Sprintf("ws%d", i%3)
+			r.Alternatives = alternatives
+		}))
+	}
+
+	BeforeEach(func() {
+		fake = &fakeEndpoint{}
+		home = newHome(fake)
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) { return scriptedRefusal(endpoint.ExecutionFailed) }
+		for i := range 8 {
+			run(i, true)
+		}
+	})
+
+	It("gets no reads that can run elsewhere", func() {
+		// Guards against reads that fail although another endpoint would serve them.
+		ran := run(0, true)
+		expectRefused(ran, refusal.NotRun, refusal.EndpointEjected)
+		Expect(ran.Report.Ejected).To(BeTrue())
+		Expect(home.ServesWell(target)).To(BeFalse())
+	})
+
+	It("still gets statements that only it can run", func() {
+		// Guards against a database that is not served at all because its last endpoint fails
+		// a part of the statements.
+		expectRefused(run(0, false), refusal.Unknown, refusal.StatementFailed)
+	})
+})
+
+var _ = Describe("a busy reply", func() {
+	ctx := context.Background()
+	var (
+		fake    *fakeEndpoint
+		home    *endpoint.Home
+		replies int
+	)
+
+	BeforeEach(func() {
+		fake = &fakeEndpoint{}
+		home = newHome(fake)
+		replies = 0
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) {
+			if replies++; replies == 1 {
+				return scriptedRefusal(endpoint.Busy)
+			}
+			return endpoint.Reply{}, nil
+		}
+	})
+
+	It("of a statement that only this endpoint can run is followed by another attempt", func() {
+		// Guards against a write that is refused although the endpoint has a free slot a moment
+		// later.
+		expectServed(home.Run(ctx, request(peer.StepSingle, "WRITE a b")))
+		expectCommands(fake, "start ws", "WRITE a b", "WRITE a b")
+	})
+
+	It("of a read that another endpoint can run is returned at once", func() {
+		ran := home.Run(ctx, request(peer.StepSingle, "READ a", func(r *peer.RunRequest) { r.Alternatives = true }))
+		expectRefused(ran, refusal.NotRun, refusal.Overloaded)
+	})
+
+	It("is not followed by more attempts than the retry budget allows", func() {
+		// Guards against retries that keep an endpoint overloaded.
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) { return scriptedRefusal(endpoint.Busy) }
+		for range 20 {
+			home.Run(ctx, request(peer.StepSingle, "WRITE a b"))
+		}
+		Expect(len(fake.commands())).To(BeNumerically("<", 30))
+	})
+})
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -41,6 +41,8 @@
 // that are set on it.
 type pooledConnection struct {
 	Connection
+	// observe is called with the replies to the commands, or the error.
+	observe        func(workspace string, timeout time.Duration, commands []Command, replies []Reply, err error)
 	workspace      string
 	values         map[string]string
 	preparedNames  map[statement.Prepared]string
@@ -58,6 +60,7 @@
 // failed or the endpoint does not know a prepared statement.
 func (p *pooledConnection) Run(timeout time.Duration, commands []Command) ([]Reply, error) {
 	replies, err := p.Connection.Run(timeout, commands)
+	p.observe(p.workspace, timeout, commands, replies, err)
 	p.state = statement.InFailedTransaction
 	if err == nil && len(replies) > 0 {
 		p.state = replies[len(replies)-1].State
@@ -222,6 +225,7 @@
 		e.config.Metrics.connectionsOpened.Inc(1)
 		c := &pooledConnection{
 			Connection: opened,
+			observe:    e.observeReplies,
 			workspace:  workspace,
 		}
 		e.mu.Lock()
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return errorResult(err)
 	}
+	if refused := client.admitRead(request); refused != nil {
+		return refusedResult(refused)
+	}
 	if err := client.pin(ctx, deadline); err != nil {
 		return errorResult(err)
 	}
--- /dev/null
+++ b/engine/failover/failing_test.go
@@ -0,0 +1,55 @@
+package failover_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a primary that fails its statements while it responds", func() {
+	var f *fixture
+
+	// report reports the primary as failing, as its home does, and returns the requested
+	// promotions.
+	report := func() []string {
+		if primary, ok := f.view.Primary("db"); ok {
+			f.manager.ReportFailing(primary)
+		}
+		return f.database.requestedPromotions()
+	}
+
+	BeforeEach(func() {
+		f = newFixture()
+		f.database.update(func() {
+			f.database.received = map[string]uint64{
+				"a": 50,
+				"b": 50,
+				"c": 50,
+			}
+		})
+	})
+
+	It("is replaced once if another VM has seen another endpoint serve statements", func() {
+		// Guards against writes that fail until the fault of the primary ends, and against
+		// promotions that follow each other.
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+		})
+		for _, p := range f.peers {
+			p.mu.Lock()
+			p.reachesPrimary = true
+			p.mu.Unlock()
+		}
+		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
+		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
+	})
+
+	It("is not replaced if no endpoint of the database serves statements", func() {
+		// Guards against a promotion for statements that fail everywhere.
+		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
+	})
+})
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -48,6 +48,9 @@
 type Prober interface {
 	// RunControlCommand runs Status or StepDown at an endpoint and returns its report.
 	RunControlCommand(ctx context.Context, target catalog.Endpoint, command endpoint.Command) (*endpoint.Report, error)
+	// ServesWell reports whether an endpoint of which this VM is the home has served statements
+	// recently and fails few of them.
+	ServesWell(target catalog.Endpoint) bool
 }
 
 // StoreStatus is the state of this VM's connection to the store.
@@ -101,6 +104,11 @@
 	promotionRequestedAt time.Duration
 	switchoverAfter      time.Duration
 	lastPrimary          catalog.Endpoint
+	// failingKey is the primary that its home reported as failing at failingAt. failingReplacedAt
+	// is when a primary was last replaced for that reason.
+	failingKey        catalog.EndpointKey
+	failingAt         time.Duration
+	failingReplacedAt time.Duration
 	// replicaLastSeen holds the time at which each replica was last reported.
 	replicaLastSeen map[catalog.EndpointKey]time.Duration
 }
@@ -122,21 +130,10 @@
 		return
 	}
 	m.Suspect(target)
-	vms := m.config.View.VMs()
-	leader, ok := vms.ByName[vms.Leader]
-	if !ok || leader.Name == m.config.View.Self().Name {
-		return
-	}
-	go func() {
-		defer guard.Recover(m.config.Log, "suspicion")
-		request := &peer.Suspicion{
-			From:   m.config.View.Self().Name,
-			Target: target,
-		}
-		if err := m.config.Clients.Call(context.Background(), leader, "Suspect", request, &peer.Empty{}, peerCallTimeout); err != nil {
-			m.config.Log.Info("Could not report an unreachable primary to the leader.", "peer", leader.Name, "endpoint", target.Key.ID, "error", err.Error())
-		}
-	}()
+	m.notifyLeader(&peer.Suspicion{
+		From:   m.config.View.Self().Name,
+		Target: target,
+	})
 }
 
 // Suspect records that a VM does not reach a primary.
@@ -206,6 +203,7 @@
 	state := takeover.DatabaseState{
 		PrimaryReported:       primaryReported,
 		PrimaryDraining:       primary.Draining && now >= d.switchoverAfter,
+		PrimaryFailing:        primaryReported && d.isFailing(primary, now),
 		StoreHealthyFor:       m.config.StoreStatus.StoreHealthyFor(),
 		PromotionRequested:    d.promotionRequestedAt != 0,
 		SincePromotionRequest: now - d.promotionRequestedAt,
@@ -219,6 +217,8 @@
 	switch takeover.Decide(state).(type) {
 	case takeover.VerifyPrimary:
 		m.runExclusive(d, func() { m.verify(ctx, name, primary) })
+	case takeover.ReplaceFailing:
+		m.runExclusive(d, func() { m.replaceFailing(ctx, name, primary) })
 	case takeover.Switchover:
 		m.runExclusive(d, func() { m.switchOver(ctx, name, primary) })
 	case takeover.Failover:
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -21,6 +21,7 @@
 	term        uint64
 	received    map[string]uint64
 	unreachable map[string]bool
+	servesWell  map[string]bool
 	promotedIDs []string
 	tokens      []uint64
 	// ignoreRequests is the number of promotion requests that will fail without effect.
@@ -51,6 +52,12 @@
 	}, nil
 }
 
+func (f *fakeDatabase) ServesWell(target catalog.Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servesWell[target.Key.ID]
+}
+
 func (f *fakeDatabase) Promote(_ context.Context, _, id, _ string, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -105,6 +105,8 @@
 	Target time.Duration
 	// Regions are the regions in which the statement may run.
 	Regions catalog.Regions
+	// Alternatives means that the calling VM can run the statement at another endpoint.
+	Alternatives bool
 }
 
 // RunResponse is the response to RunRequest.
@@ -224,6 +226,9 @@
 	// From is the calling VM.
 	From   string
 	Target catalog.Endpoint
+	// Failing means that the endpoint responds but fails many of its statements. Confirm then
+	// requests whether the called VM, its home, has seen it serve statements.
+	Failing bool
 }
 
 // ConfirmResponse is the response of a VM that was requested to probe an endpoint.
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -17,6 +17,11 @@
 	initialStatementTime = 30 * time.Millisecond
 	// unreachableRetryDelay is how long reads avoid an endpoint that no home could reach.
 	unreachableRetryDelay = 500 * time.Millisecond
+	// ejectedRetryDelay is how long reads avoid an endpoint whose home has ejected it, and
+	// ejectedPenalty is how much longer they may take elsewhere. The home refuses them anyway,
+	// except for probes.
+	ejectedRetryDelay = 500 * time.Millisecond
+	ejectedPenalty    = 150 * time.Millisecond
 	// announcementTTL is how long the leader's announcement of a new primary overrides the
 	// endpoints' reports. The new primary's own report arrives after its next heartbeat
 	// and the next poll.
@@ -60,6 +65,9 @@
 	missingPositionAt time.Time
 	// unreachableUntil is the time until which reads avoid the endpoint.
 	unreachableUntil time.Time
+	// avoidUntil is the time until which reads that may run elsewhere avoid the endpoint, because
+	// it fails a part of its statements.
+	avoidUntil time.Time
 	// demoted is set when the endpoint rejects a statement because it is not the primary.
 	// It is cleared when the endpoint's report changes to primary, or when the endpoint
 	// proves that it is the primary.
@@ -212,7 +220,12 @@
 		if now.Before(state.unreachableUntil) {
 			continue
 		}
+		penalty := time.Duration(0)
+		if now.Before(state.avoidUntil) {
+			penalty = ejectedPenalty
+		}
 		candidates = append(candidates, placement.Candidate{
+			Penalty:            penalty,
 			ID:                 e.Key.ID,
 			DataCentre:         e.DataCentre,
 			Region:             v.Region(e.DataCentre),
@@ -284,6 +297,8 @@
 	MissingPosition logpos.Position
 	// Unreachable is set if no home could reach the endpoint.
 	Unreachable bool
+	// Ejected is set if the home avoids the endpoint because it fails a part of its statements.
+	Ejected bool
 }
 
 // EndStatement records the outcome of a statement that was counted with BeginStatement.
@@ -307,6 +322,9 @@
 	if outcome.Unreachable {
 		state.unreachableUntil = now.Add(unreachableRetryDelay)
 	}
+	if outcome.Ejected {
+		state.avoidUntil = now.Add(ejectedRetryDelay)
+	}
 	if outcome.ProvedPrimary {
 		v.recordProvedPrimary(d, e, state, outcome.Position.Term)
 	}
--- a/engine/vm/handler.go
+++ b/engine/vm/handler.go
@@ -30,9 +30,18 @@
 	return h.vm.gossip.News(request)
 }
 
-func (h handler) Suspect(request *peer.Suspicion) { h.vm.failover.Suspect(request.Target) }
+func (h handler) Suspect(request *peer.Suspicion) {
+	if request.Failing {
+		h.vm.failover.RecordFailing(request.Target)
+		return
+	}
+	h.vm.failover.Suspect(request.Target)
+}
 
 func (h handler) Confirm(ctx context.Context, request *peer.Suspicion) peer.ConfirmResponse {
+	if request.Failing {
+		return peer.ConfirmResponse{Reached: h.vm.failover.ServesWell(request.Target)}
+	}
 	return peer.ConfirmResponse{Reached: h.vm.failover.Probe(ctx, request.Target)}
 }
 
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -154,6 +154,7 @@
 		Lookup:             v.view.Endpoint,
 		IsFirstHome:        v.view.IsFirstHome,
 		ReportUnresponsive: func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
+		ReportFailing:      func(target catalog.Endpoint) { v.failover.ReportFailing(target) },
 	})
 	v.newDependentComponents()
 	return v, nil
