--- a/decision/takeover/succession.go
+++ b/decision/takeover/succession.go
@@ -21,7 +21,8 @@
 // ChooseAfterStepDown returns the successor of a primary that has stepped down; false if there
 // is none yet. An endpoint that is draining is no successor. Once the time for catching up is
 // over, the one that has received most succeeds, unless synchronous replicas promise that no
-// acknowledged commit is lost: then, and if there is no other, the primary leads again.
+// acknowledged commit is lost: then, and if there is no other, the primary leads again. It does
+// not if its data centre is evacuated, since it would get no writes.
 func ChooseAfterStepDown(primary Candidate, others []Candidate, syncReplicas int, timeOver bool) (Candidate, bool) {
 	successor, ok := Choose(notDraining(others))
 	switch {
@@ -31,6 +32,8 @@
 		return Candidate{}, false
 	case ok && syncReplicas == 0:
 		return successor, true
+	case primary.Evacuated:
+		return Candidate{}, false
 	default:
 		return primary, true
 	}
--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -140,19 +140,23 @@
 	ReceivedPosition logpos.Position
 	// Draining is true if the endpoint is leaving.
 	Draining bool
+	// Evacuated is true if the endpoint's data centre is evacuated.
+	Evacuated bool
+	// AllowingRoutes is the number of the database's routes that allow the endpoint's region.
+	AllowingRoutes int
 	// SameRegion is true if the endpoint is in the region of the database's old primary.
 	SameRegion bool
 }
 
-// Choose returns the candidate with the highest received position. On a tie it prefers
-// one in the region of the old primary, then the one with the lowest ID.
+// Choose returns the candidate with the highest received position. On a tie it prefers the one
+// that most routes allow, then one in the region of the old primary, then the one with the
+// lowest ID.
 func Choose(candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	found := false
 	for _, c := range candidates {
 		if found {
-			order := c.ReceivedPosition.Compare(best.ReceivedPosition)
-			if order < 0 || (order == 0 && (best.SameRegion && !c.SameRegion || best.SameRegion == c.SameRegion && best.ID < c.ID)) {
+			if order := c.ReceivedPosition.Compare(best.ReceivedPosition); order < 0 || (order == 0 && best.isPreferredTo(c)) {
 				continue
 			}
 		}
@@ -160,3 +164,16 @@
 	}
 	return best, found
 }
+
+// isPreferredTo reports whether a candidate is preferred to another one that has received the
+// same position.
+func (c Candidate) isPreferredTo(other Candidate) bool {
+	switch {
+	case c.AllowingRoutes != other.AllowingRoutes:
+		return c.AllowingRoutes > other.AllowingRoutes
+	case c.SameRegion != other.SameRegion:
+		return c.SameRegion
+	default:
+		return c.ID < other.ID
+	}
+}
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -157,6 +157,30 @@
 		Expect(chosen.ID).To(Equal("far"))
 	})
 
+	It("prefers the endpoint that most routes allow among those that have received the same", func() {
+		// Guards against a primary where fewer routes may use it, and against the loss of log
+		// entries for the sake of routes.
+		allowed := takeover.Candidate{
+			ID:               "z",
+			ReceivedPosition: position(10),
+			AllowingRoutes:   2,
+		}
+		near := takeover.Candidate{
+			ID:               "a",
+			ReceivedPosition: position(10),
+			AllowingRoutes:   1,
+			SameRegion:       true,
+		}
+		for _, candidates := range [][]takeover.Candidate{{allowed, near}, {near, allowed}} {
+			chosen, ok := takeover.Choose(candidates)
+			Expect(ok).To(BeTrue())
+			Expect(chosen.ID).To(Equal("z"))
+		}
+		near.ReceivedPosition = position(11)
+		chosen, _ := takeover.Choose([]takeover.Candidate{allowed, near})
+		Expect(chosen.ID).To(Equal("a"))
+	})
+
 	It("prefers the region of the old primary among endpoints that have received the same", func() {
 		// Guards against a primary that moves to another region without need.
 		for _, first := range []string{"a", "z"} {
@@ -258,6 +282,20 @@
 		})
 	})
 
+	It("is not the one that has stepped down in an evacuated data centre", func() {
+		// Guards against a primary that gets no writes after it leads again.
+		primary := candidate("p", 9, false)
+		primary.Evacuated = true
+		behind := []takeover.Candidate{candidate("a", 7, false)}
+		_, ok := takeover.ChooseAfterStepDown(primary, behind, 1, true)
+		Expect(ok).To(BeFalse())
+		chosen, _ := takeover.ChooseAfterStepDown(primary, behind, 0, true)
+		Expect(chosen.ID).To(Equal("a"))
+		primary.Evacuated = false
+		chosen, _ = takeover.ChooseAfterStepDown(primary, behind, 1, true)
+		Expect(chosen.ID).To(Equal("p"))
+	})
+
 	It("has received most if one has stepped down without synchronous replicas", func() {
 		primary := candidate("p", 9, true)
 		others := []takeover.Candidate{candidate("a", 7, false), candidate("b", 8, false), candidate("c", 9, true)}
