--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/placement"
 	"amaranthdock.dev/decision/staleness"
@@ -195,7 +196,7 @@
 }
 
 // Candidates returns the endpoints that may run reads of a database: all of them except
-// for those that are excluded, are draining, or were unreachable a moment ago.
+// for those that are excluded, are draining or evacuated, or were unreachable a moment ago.
 func (v *View) Candidates(name string, excluded map[string]bool) []placement.Candidate {
 	primary, hasPrimary := v.Primary(name)
 	reported := v.endpoints.Load().ByID
@@ -205,7 +206,7 @@
 	d := v.database(name)
 	var candidates []placement.Candidate
 	for _, e := range reported {
-		if e.Database != name || e.Draining || excluded[e.Key.ID] {
+		if e.Database != name || e.Draining || excluded[e.Key.ID] || v.Access(e) != evacuation.Open {
 			continue
 		}
 		state := d.endpoint(e.Key)
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/timer"
 )
@@ -28,6 +29,9 @@
 	// DrainLimit is the time after which an endpoint that is draining may get no new statements;
 	// 0 for no limit.
 	DrainLimit time.Duration
+	// EvacuationLimit is the time after which an evacuated data centre may get no more requests;
+	// 0 if the deployment has no evacuations.
+	EvacuationLimit time.Duration
 }
 
 // View is the local copy. It is safe for concurrent use.
@@ -36,6 +40,7 @@
 	configuration atomic.Pointer[catalog.Configuration]
 	endpoints     atomic.Pointer[catalog.EndpointSnapshot]
 	vms           atomic.Pointer[catalog.VMSnapshot]
+	evacuations   atomic.Pointer[evacuation.Set]
 
 	mu sync.Mutex
 	// changed is closed and replaced at each change.
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -26,6 +26,9 @@
 	unreachable map[string]bool
 }
 
+// evacuationLimit is the time after which an evacuated data centre may get no more requests.
+const evacuationLimit = 5 * time.Second
+
 func newFixture() *fixture {
 	f := &fixture{
 		clock:       timer.NewManual(timer.ManualConfig{}),
@@ -42,6 +45,8 @@
 		Log:         logr.Discard(),
 		Unreachable: func(name string) bool { return f.unreachable[name] },
 		DrainLimit:  7 * time.Second,
+
+		EvacuationLimit: evacuationLimit,
 	})
 	return f
 }
