Receive evacuations with the watch of the configuration

Cause: calls to the store are billed, so evacuations must not take a watch of their own.

Change: where there are evacuations, the prefix op/ is watched in place of op/config, and op/evacuate/ is read once after the configuration is. An invalid configuration does not hold evacuations back. The fixture of the store's tests can change the configuration of the VM.

--- a/engine/store/configuration.go
+++ b/engine/store/configuration.go
@@ -92,6 +92,11 @@
 	case configuration == nil:
 		return s.watchAfter(ctx, revision, s.withJitter(watchTimeout))
 	}
+	// The next watch continues from the revision of the configuration, so the evacuations must
+	// not be older.
+	if err := s.readEvacuations(ctx); err != nil {
+		return false, err
+	}
 	s.acceptConfiguration(configuration, revision)
 	return false, nil
 }
@@ -109,7 +114,7 @@
 // watchAfter waits for a configuration that is newer than a revision.
 func (s *Syncer) watchAfter(ctx context.Context, revision uint64, timeout time.Duration) (changed bool, err error) {
 	sentAt := s.config.Timer.SinceBoot()
-	configuration, reached, err := s.config.ConfigurationSource.Watch(ctx, revision, timeout)
+	configuration, reached, err := s.watch(ctx, revision, timeout)
 	s.recordResponse(sentAt, err)
 	if err != nil {
 		return false, err
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/engine/view"
@@ -56,6 +57,11 @@
 	ranges             int
 	// loseNextCommit applies the next commit and loses its response.
 	loseNextCommit bool
+	// evacuations are the changes of evacuations, and evacuationReads counts the reads of all.
+	evacuations     []evacuation.Change
+	evacuationReads int
+	// invalid makes watches fail that return the configuration.
+	invalid bool
 	// delayNextCommit leaves the next commit to the test, in delayed, without a response.
 	delayNextCommit bool
 	delayed         store.Change
@@ -298,6 +304,11 @@
 
 // newFixtureWithTimer returns a VM that takes the time from a service.
 func newFixtureWithTimer(service timer.Service) *fixture {
+	return newFixtureWith(service, func(*fixture, *store.Config) {})
+}
+
+// newFixtureWith returns a VM with a changed configuration.
+func newFixtureWith(service timer.Service, change func(*fixture, *store.Config)) *fixture {
 	f := &fixture{fake: newFakeStore()}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	DeferCleanup(f.stop)
@@ -312,8 +323,10 @@
 		Timer:       service,
 		Log:         logr.Discard(),
 		Unreachable: func(string) bool { return false },
+
+		EvacuationLimit: evacuationLimit,
 	})
-	f.syncer = store.New(store.Config{
+	config := store.Config{
 		Store:               f.fake,
 		ConfigurationSource: configurationSource{f.fake},
 		ReportSource:        reportSource{f.fake},
@@ -323,7 +336,9 @@
 		Registry:            metrics.NewRegistry(),
 		Jitter:              func() float64 { return 0.5 },
 		HearsMostNeighbours: func() bool { return !f.isolated.Load() },
-	})
+	}
+	change(f, &config)
+	f.syncer = store.New(config)
 	return f
 }
 
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -42,10 +42,12 @@
 	Store               Store
 	ConfigurationSource ConfigurationSource
 	ReportSource        ReportSource
-	View                *view.View
-	Timer               timer.Service
-	Log                 logr.Logger
-	Registry            metrics.Registry
+	// EvacuationSource is nil if the deployment has no evacuations.
+	EvacuationSource EvacuationSource
+	View             *view.View
+	Timer            timer.Service
+	Log              logr.Logger
+	Registry         metrics.Registry
 	// HearsMostNeighbours reports whether this VM has recently heard most of the VMs with
 	// which it exchanges data.
 	HearsMostNeighbours func() bool
