Pass evacuations on in gossip, with their ages

Cause: VMs that do not read the store, or can't reach it, have to learn of evacuations, and a limit must not start anew at each VM.

Change: requests hold the revision of the known set; responses the whole set if it is newer, and for how long VMs have known of each evacuation. A VM continues the watch of a reader only if the reader has a set, because one of an older build has none.

--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -198,7 +198,7 @@
 	s.nextReader++
 	requestedAt := s.config.Timer.SinceBoot()
 	if response, ok := s.exchange(ctx, readers[s.nextReader%len(readers)]); ok && response.Age < requestedAt {
-		s.config.Store.RecordReaderUpdate(requestedAt-response.Age, response.ConfigRevision)
+		s.config.Store.RecordReaderUpdate(requestedAt-response.Age, s.declaredUpTo(&response))
 	}
 }
 
@@ -217,6 +217,8 @@
 		Deltas:     true,
 		Claims:     true,
 		Settled:    s.config.Store.FleetSettled(),
+
+		EvacuationsRevision: v.Evacuations().Revision,
 	}
 	if c := v.Configuration(); c != nil {
 		request.ConfigVersion = c.Version
@@ -231,6 +233,7 @@
 	if response.Settled {
 		s.config.Store.RecordRunningPeer(response.KnowsPredecessor)
 	}
+	s.acceptEvacuations(&response, request.SentAt)
 	if response.ConfigDelta != nil {
 		if newer, ok := response.ConfigDelta.Apply(v.Configuration()); ok {
 			v.AcceptConfiguration(newer, response.From.Name)
@@ -289,6 +292,7 @@
 		known, ok := registrations.ByName[request.From.Name]
 		response.KnowsPredecessor = ok && known.Incarnation != request.From.Incarnation
 	}
+	s.addEvacuations(request, &response)
 	sameRegion := request.From.Region == v.Self().Region
 	if c := v.Configuration(); c != nil && c.Version > request.ConfigVersion {
 		delta, ok := v.ConfigurationSince(request.ConfigVersion)
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -31,6 +31,7 @@
 	age         time.Duration
 	readers     []catalog.VM
 	confirmedAt time.Duration
+	revision    uint64
 	// knowsPredecessor is what a running VM has told about an earlier process; nil if none
 	// has responded.
 	knowsPredecessor *bool
@@ -62,10 +63,10 @@
 
 func (c *contact) ConfigurationRevision() uint64 { return 40 }
 
-func (c *contact) RecordReaderUpdate(at time.Duration, _ uint64) {
+func (c *contact) RecordReaderUpdate(at time.Duration, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.confirmedAt = at
+	c.confirmedAt, c.revision = at, revision
 }
 
 // predecessorKnown returns what a running VM has told about an earlier process.
@@ -75,6 +76,13 @@
 	return c.knowsPredecessor
 }
 
+// lastRevision returns the revision of the latest reader update.
+func (c *contact) lastRevision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
 // lastConfirmedAt returns the time of the latest reader update that was recorded, or 0.
 func (c *contact) lastConfirmedAt() time.Duration {
 	c.mu.Lock()
@@ -128,6 +136,8 @@
 			Timer:       clock,
 			Log:         logr.Discard(),
 			Unreachable: clients.Unreachable,
+
+			EvacuationLimit: time.Second,
 		}),
 		contact: &contact{age: math.MaxInt64},
 		clock:   clock,
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -179,6 +179,9 @@
 	Claims bool
 	// WholeFleet requests all registrations, because a difference did not apply.
 	WholeFleet bool
+	// EvacuationsRevision is the revision of the set of evacuated data centres that the
+	// requesting VM knows.
+	EvacuationsRevision uint64
 }
 
 // KnownRevision is a known store revision and the digest of the data at that revision.
@@ -216,6 +219,13 @@
 	// VMsDelta is set in place of VMs if the responding VM knows all changes since the
 	// requesting VM's revision.
 	VMsDelta *catalog.VMDelta
+	// EvacuationsRevision is the revision of the set of evacuated data centres that the
+	// responding VM knows; 0 if it knows none.
+	EvacuationsRevision uint64
+	// Evacuations is the whole set if it is newer than the requesting VM's.
+	Evacuations *catalog.Evacuations
+	// EvacuationAges holds for how long VMs have known of each evacuation in the set.
+	EvacuationAges map[string]time.Duration
 }
 
 // Suspicion is the argument of two calls: Suspect reports to the leader that a VM does not
