Send no more requests to evacuated endpoints from their home

Cause: a request may wait at the home for a slot, a connection or its setup until the limit of an evacuation has passed.

It also refuses statements that may not run in the endpoint's region.

--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -211,15 +211,22 @@
 
 // newHomeWithClock returns a home of the fake endpoint that uses the given clock.
 func newHomeWithClock(fake *fakeEndpoint, clock timer.Service) *endpoint.Home {
-	return endpoint.New(endpoint.Config{
+	return newHomeWith(fake, func(c *endpoint.Config) { c.Timer = clock })
+}
+
+// newHomeWith returns a home of the fake endpoint with a changed configuration.
+func newHomeWith(fake *fakeEndpoint, change func(*endpoint.Config)) *endpoint.Home {
+	config := endpoint.Config{
 		Dialer:             fake,
 		ReportUnresponsive: fake.recordUnresponsive,
-		Timer:              clock,
+		Timer:              timer.NewSystem(),
 		Log:                logr.Discard(),
 		Registry:           metrics.NewRegistry(),
 		Lookup:             func(id string) (catalog.Endpoint, bool) { return target, id == target.Key.ID },
 		IsFirstHome:        func(catalog.Endpoint) bool { return true },
-	})
+	}
+	change(&config)
+	return endpoint.New(config)
 }
 
 var target = catalog.Endpoint{
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -43,6 +43,8 @@
 	IsFirstHome func(catalog.Endpoint) bool
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
+	// Places tells where requests may be sent; nil if there are no restrictions.
+	Places Places
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -132,6 +134,9 @@
 		h.clients[target.Key] = client
 	}
 	h.mu.Unlock()
+	if err := client.refusePlace(request); err != nil {
+		return nil, err
+	}
 	share := firstHomeShare
 	if !h.config.IsFirstHome(target) {
 		share = otherHomeShare
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -157,6 +157,9 @@
 // one of this home's connections is free.
 func (e *endpointClient) acquireConnection(ctx context.Context, request *peer.RunRequest, deadline time.Time) (*pooledConnection, error) {
 	for {
+		if err := e.refusePlace(request); err != nil {
+			return nil, err
+		}
 		found, evicted, err := e.takeIdleOrReserve(request)
 		if evicted != nil {
 			evicted.Close()
@@ -282,9 +285,10 @@
 // transaction or uncertain session values, or exceeds the limit.
 func (e *endpointClient) put(c *pooledConnection, reusable bool) {
 	c.idleSince = e.config.Timer.Now()
+	mayKeep := e.config.Places == nil || e.config.Places.MayKeepConnections(e.target)
 	e.mu.Lock()
 	delete(e.inUse, c)
-	keep := reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit
+	keep := mayKeep && reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit
 	if keep {
 		e.idle = append(e.idle, c)
 	} else {
--- a/engine/endpoint/setup.go
+++ b/engine/endpoint/setup.go
@@ -23,6 +23,10 @@
 		if err != nil {
 			return nil, "", nil, err
 		}
+		if err := client.refusePlace(request); err != nil {
+			client.put(c, true)
+			return nil, "", nil, err
+		}
 		setup, name := c.setupCommands(request.Values, request.Prepared, false)
 		if len(setup) == 0 && len(further) == 0 {
 			return c, name, nil, nil
@@ -43,6 +47,10 @@
 			refused = refusal.NewNotRun(refusal.ConnectionLost, "the session's values or prepared statement could not be set at the endpoint: "+firstError(replies))
 		default:
 			client.recordResponse()
+			if err := client.refusePlace(request); err != nil {
+				client.put(c, true)
+				return nil, "", nil, err
+			}
 			return c, name, replies[len(setup):], nil
 		}
 		client.put(c, false)
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -20,6 +20,9 @@
 	// idleTimeout is the longest allowed time between two statements.
 	idleTimeout time.Duration
 	lastUsed    time.Time
+	// evacuated is set once the transaction is being rolled back because of an evacuation. The
+	// home's lock protects it.
+	evacuated bool
 
 	// mu is held while a step runs.
 	mu    sync.Mutex
@@ -57,7 +60,7 @@
 	result.ExpectedWait = client.expectedWait(request.Workspace)
 	if result.Refused != nil || t.ended {
 		if t.connection != nil {
-			client.put(t.connection, !t.ended && rollBackOnConnection(t.connection))
+			client.put(t.connection, !t.ended && client.rollBackOpen(t.connection))
 		}
 		client.unpin()
 		result.Failed = false
@@ -97,12 +100,12 @@
 	t, ok := h.transactions[request.Transaction]
 	h.mu.Unlock()
 	if !ok {
-		return refusedResult(refusal.NewNotRun(refusal.TransactionUnknown, "the transaction is no longer open"))
+		return refusedResult(h.closedTransactionRefusal(request))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ended {
-		return refusedResult(refusal.NewNotRun(refusal.TransactionUnknown, "the transaction is no longer open"))
+		return refusedResult(h.closedTransactionRefusal(request))
 	}
 	t.lastUsed = h.config.Timer.Now()
 	var result *peer.RunResponse
@@ -117,6 +120,11 @@
 				return false
 			}
 		}
+		if err := t.client.refusePlace(request); err != nil {
+			result = errorResult(err)
+			result.Failed = true
+			return false
+		}
 		result = h.runStep(t, request, statementCommand(request, name), deadline)
 		return measuresServiceTime(result)
 	})
@@ -131,7 +139,7 @@
 	case request.Step == peer.StepCommit && err == nil:
 		h.release(t, true)
 	case request.Step == peer.StepCommit || result.Failed:
-		h.release(t, rollBackOnConnection(t.connection))
+		h.release(t, t.client.rollBackOpen(t.connection))
 	}
 	return result
 }
@@ -177,6 +185,10 @@
 // transaction is then still open.
 func (h *Home) commit(t *transaction, request *peer.RunRequest, deadline time.Time) *peer.RunResponse {
 	for {
+		if err := t.client.refusePlace(request); err != nil {
+			t.ended = true
+			return errorResult(err)
+		}
 		replies, err := t.connection.Run(deadline.Sub(h.config.Timer.Now()), []Command{Commit{ID: request.ID}})
 		if err != nil {
 			t.ended = true
@@ -226,7 +238,7 @@
 		h.release(t, false)
 		return
 	}
-	h.release(t, keep && rollBackOnConnection(t.connection))
+	h.release(t, keep && t.client.rollBackOpen(t.connection))
 }
 
 // rollBackOnConnection rolls back the transaction that is open on a connection, and
