Choose endpoints and homes by evacuations and allowed regions

Change: the regions are part of an operation's authorization, and so fixed for a transaction. Candidates, the primary and homes are filtered by them. A statement that no endpoint can run is refused at once as not run. No position samples are requested from an evacuated primary after the limit.

--- a/engine/caller/authorization.go
+++ b/engine/caller/authorization.go
@@ -10,9 +10,13 @@
 // authorization is the part of the configuration that applies to a session's
 // operation: its route, database and workspace.
 type authorization struct {
-	route                catalog.Route
-	database             catalog.Database
-	workspace            string
+	route     catalog.Route
+	database  catalog.Database
+	workspace string
+	// regions are the regions in which the statements may run; noRegion is set if the route and
+	// the workspace allow none in common.
+	regions              catalog.Regions
+	noRegion             bool
 	transactionIdle      time.Duration
 	configurationVersion uint64
 }
@@ -41,10 +45,13 @@
 			return authorization{}, refusal.NewNotRun(refusal.KeyUnknown, "the key is unknown")
 		}
 	}
+	regions, anyRegion := route.Regions.And(c.Workspaces[workspace].Regions)
 	return authorization{
 		route:                route,
 		database:             c.Databases[route.Database],
 		workspace:            workspace,
+		regions:              regions,
+		noRegion:             !anyRegion,
 		transactionIdle:      c.TransactionIdle,
 		configurationVersion: c.Version,
 	}, nil
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -62,6 +62,9 @@
 func (d *dispatch) run(ctx context.Context) *peer.RunResponse {
 	for {
 		changed := d.session.manager.config.View.Changed()
+		if refused := d.refusePlace(); refused != nil {
+			return &peer.RunResponse{Refused: refused}
+		}
 		target, ok := d.chooseEndpoint()
 		if !ok {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
@@ -77,7 +80,7 @@
 		if d.remaining() < minSendTimeout || ctx.Err() != nil {
 			return result
 		}
-		if result.Refused.Reason == refusal.NotPrimary || (result.Refused.Reason == refusal.Unreachable && d.needsPrimary()) {
+		if reason := result.Refused.Reason; reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (reason == refusal.Unreachable && d.needsPrimary()) {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
@@ -139,7 +142,7 @@
 	}
 	target, ok := d.session.manager.config.View.Primary(d.auth.database.Name)
 	d.request.Fenced = d.request.Step == peer.StepSingle && !d.request.Write
-	return target, ok && d.session.manager.config.View.MayStartWork(target)
+	return target, ok && d.mayUsePrimary(target)
 }
 
 // chooseReplica picks an endpoint, which may be the primary, whose log is expected to
@@ -159,7 +162,7 @@
 		DataCentre: v.Self().DataCentre,
 		Region:     v.Self().Region,
 	}
-	id, ok := placement.Choose(from, required, v.Candidates(name, d.excluded))
+	id, ok := placement.Choose(from, required, d.candidates())
 	if !ok {
 		return catalog.Endpoint{}, false
 	}
@@ -199,6 +202,9 @@
 	case refusal.Unreachable:
 		outcome.Unreachable = true
 		final = result.Refused.Outcome != refusal.NotRun
+	case refusal.DataCentreEvacuated:
+		// The home learned of the evacuation first.
+		final = !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
 		final = d.needsPrimary() || len(d.excluded) > 0
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
@@ -222,7 +228,7 @@
 		d.excluded = map[string]bool{}
 	}
 	d.excluded[target.Key.ID] = true
-	if len(d.session.manager.config.View.Candidates(d.auth.database.Name, d.excluded)) == 0 {
+	if len(d.candidates()) == 0 {
 		d.primaryOnly = true
 	}
 }
@@ -231,7 +237,7 @@
 // until one accepts it.
 func (d *dispatch) tryHomes(ctx context.Context, target catalog.Endpoint) *peer.RunResponse {
 	var lastResult *peer.RunResponse
-	for _, home := range d.session.manager.config.View.Homes(target, maxHomesPerEndpoint) {
+	for _, home := range d.homes(target) {
 		d.request.Endpoint = target.Key.ID
 		d.request.Timeout = d.remaining()
 		if d.request.Timeout < minSendTimeout || ctx.Err() != nil {
--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/engine/caller"
@@ -175,6 +176,9 @@
 // drainLimit is the time after which a draining endpoint may get no new statements.
 const drainLimit = 100 * time.Millisecond
 
+// evacuationLimit is the time after which an evacuated data centre may get no more requests.
+const evacuationLimit = evacuation.Margin + 150*time.Millisecond
+
 func newFixture() *fixture {
 	f := &fixture{fleet: &fakeFleet{}}
 	self := catalog.VM{
@@ -183,12 +187,17 @@
 		Region:     "a",
 	}
 	f.view = view.New(view.Config{
-		Self:        self,
-		Regions:     map[string]string{"a1": "a"},
-		Timer:       timer.NewSystem(),
-		Log:         logr.Discard(),
-		Unreachable: func(string) bool { return false },
-		DrainLimit:  drainLimit,
+		Self: self,
+		Regions: map[string]string{
+			"a1": "a",
+			"a2": "a",
+			"b1": "b",
+		},
+		EvacuationLimit: evacuationLimit,
+		Timer:           timer.NewSystem(),
+		Log:             logr.Discard(),
+		Unreachable:     func(string) bool { return false },
+		DrainLimit:      drainLimit,
 	})
 	f.sessions = caller.New(caller.Config{
 		View:     f.view,
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -187,6 +187,7 @@
 	return &peer.RunRequest{
 		TransactionIdle: auth.transactionIdle,
 		Workspace:       auth.workspace,
+		Regions:         auth.regions,
 		MaxConnections:  auth.database.MaxConnections,
 		Priority:        auth.route.Priority,
 		ID:              request.ID,
@@ -212,7 +213,8 @@
 		return
 	}
 	switch refused.Reason {
-	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort, refusal.NoPrimary, refusal.NotPrimary, refusal.ReplicaBehind:
+	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort, refusal.NoPrimary, refusal.NotPrimary, refusal.ReplicaBehind,
+		refusal.DataCentreEvacuated, refusal.RegionNotAllowed:
 		s.config.Limiter.Refund(auth.workspace)
 	}
 }
@@ -239,6 +241,7 @@
 		refused = refusal.NewNotRun(refusal.Internal, err.Error())
 	}
 	s.manager.statementMetrics.recordRefusal(auth.route.Kind, refused.Reason)
+	s.manager.countEvacuated(refused)
 	s.manager.config.Log.Info("Refused a statement.", "request", request.ID, "reason", refused.Reason, "outcome", refused.Outcome.String(),
 		"message", refused.Message, "endpoint", s.lastAttempt.endpoint, "home", s.lastAttempt.home, "database", auth.route.Database, "workspace", auth.workspace, "configuration", auth.configurationVersion,
 		"transaction", s.transaction != nil, "took", s.manager.config.Timer.Now().Sub(started).String())
--- a/engine/caller/sample.go
+++ b/engine/caller/sample.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
 )
@@ -59,7 +60,7 @@
 	defer guard.Recover(s.config.Log, "sample")
 	configuration := s.config.View.Configuration()
 	primary, ok := s.config.View.Primary(database)
-	if !ok || configuration == nil {
+	if !ok || configuration == nil || s.config.View.Access(primary) == evacuation.Closed {
 		return
 	}
 	request := &peer.RunRequest{
