Replace primaries in evacuated data centres

Cause: a primary there gets no writes after the limit.

Change: the leader replaces it as it does a draining one, if another endpoint can succeed it. Endpoints in evacuated data centres get no status queries for a succession and never succeed. An evacuated primary that does not respond is suspected, because no home would report it. Candidates count the routes that allow their region.

--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -205,7 +205,7 @@
 	}
 	state := takeover.DatabaseState{
 		PrimaryReported:       primaryReported,
-		PrimaryDraining:       primary.Draining && now >= d.switchoverAfter,
+		PrimaryDraining:       (primary.Draining || m.mustEvacuate(primary, primaryReported)) && now >= d.switchoverAfter,
 		StoreHealthyFor:       m.config.StoreStatus.StoreHealthyFor(),
 		PromotionRequested:    d.promotionRequestedAt != 0,
 		SincePromotionRequest: now - d.promotionRequestedAt,
@@ -337,8 +337,11 @@
 }
 
 // responds reports whether an endpoint responds to this VM. An error reply counts as a
-// response.
+// response. An endpoint that may get no control commands counts as responding.
 func (m *Manager) responds(ctx context.Context, target catalog.Endpoint) bool {
+	if !m.mayControl(target) {
+		return true
+	}
 	_, err := m.config.Prober.RunControlCommand(ctx, target, endpoint.Status{})
 	if err == nil {
 		return true
--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -58,6 +58,9 @@
 	revision uint64
 }
 
+// evacuationLimit is the time after which an evacuated data centre may get no more requests.
+const evacuationLimit = 5 * time.Second
+
 func newFixture() *fixture { return newFixtureWith(func(*fixture) {}) }
 
 // newFixtureWith lets a test prepare the store and the view before the VM campaigns for
@@ -90,7 +93,17 @@
 		Log:   logr.Discard(),
 	})
 	f.view = view.New(view.Config{
-		Self:        catalog.VM{Name: "self"},
+		Self: catalog.VM{
+			Name:       "self",
+			DataCentre: "a1",
+		},
+		Regions: map[string]string{
+			"a1": "a",
+			"a2": "a",
+			"b1": "b",
+		},
+		EvacuationLimit: evacuationLimit,
+
 		Timer:       clock,
 		Log:         logr.Discard(),
 		Unreachable: clients.Unreachable,
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -25,12 +25,15 @@
 	tokens      []uint64
 	// ignoreRequests is the number of promotion requests that will fail without effect.
 	ignoreRequests int
+	// queriedIDs are the endpoints that received a control command.
+	queriedIDs []string
 }
 
 func (f *fakeDatabase) RunControlCommand(_ context.Context, target catalog.Endpoint, command endpoint.Command) (*endpoint.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := target.Key.ID
+	f.queriedIDs = append(f.queriedIDs, id)
 	if f.unreachable[id] {
 		return nil, errNoResponse
 	}
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
@@ -59,6 +60,7 @@
 	before, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.Status{})
 	if err != nil {
 		m.config.Log.Info("Could not read the term of a draining primary.", "database", name, "endpoint", old.Key.ID, "error", err.Error())
+		m.suspectEvacuated(old)
 		return
 	}
 	if !takeover.MayStepDown(m.candidate(old, before, old), m.candidates(ctx, name, old), m.syncReplicas(name)) {
@@ -80,7 +82,11 @@
 		if ok {
 			m.config.Log.Info("A draining primary stepped down.", "database", name, "endpoint", old.Key.ID, "position", after.ReceivedPosition.String(),
 				"successor", chosen.ID, "received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
-			m.promote(ctx, name, chosen, "the primary is draining")
+			m.promote(ctx, name, chosen, m.switchoverCause(old))
+			return
+		}
+		if timeOver {
+			m.config.Log.Info("No endpoint has received the whole log of an evacuated primary yet.", "database", name, "endpoint", old.Key.ID)
 			return
 		}
 		if err := timer.Sleep(ctx, m.config.Timer, pollInterval); err != nil {
@@ -106,7 +112,8 @@
 	return c.Databases[name].SyncReplicas
 }
 
-// candidates queries the log positions of all members except the old primary.
+// candidates queries the log positions of all members except the old primary and those in
+// evacuated data centres.
 func (m *Manager) candidates(ctx context.Context, name string, old catalog.Endpoint) []takeover.Candidate {
 	var (
 		mu         sync.Mutex
@@ -114,7 +121,7 @@
 		probes     sync.WaitGroup
 	)
 	for _, e := range m.config.View.Members(name) {
-		if e.Key == old.Key {
+		if e.Key == old.Key || m.config.View.Access(e) != evacuation.Open {
 			continue
 		}
 		probes.Go(func() {
@@ -138,6 +145,8 @@
 		ID:               e.Key.ID,
 		ReceivedPosition: report.ReceivedPosition,
 		Draining:         e.Draining,
+		Evacuated:        m.config.View.Access(e) != evacuation.Open,
+		AllowingRoutes:   m.allowingRoutes(e),
 		SameRegion:       m.config.View.Region(e.DataCentre) == m.config.View.Region(old.DataCentre),
 	}
 }
