--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -72,8 +72,10 @@
 	Store               store.Store
 	ConfigurationSource store.ConfigurationSource
 	ReportSource        store.ReportSource
-	Promoter            failover.Promoter
-	Dialer              endpoint.Dialer
+	// EvacuationSource is used if EvacuationLimit is above 0.
+	EvacuationSource store.EvacuationSource
+	Promoter         failover.Promoter
+	Dialer           endpoint.Dialer
 	// DialVM opens connections to other VMs. PeerListener accepts connections from them.
 	DialVM       func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	PeerListener net.Listener
@@ -133,11 +135,14 @@
 		Log:         config.Log.WithName("view"),
 		Unreachable: v.clients.Unreachable,
 		DrainLimit:  config.DrainLimit,
+
+		EvacuationLimit: config.EvacuationLimit,
 	})
 	v.store = store.New(store.Config{
 		Store:               config.Store,
 		ConfigurationSource: config.ConfigurationSource,
 		ReportSource:        config.ReportSource,
+		EvacuationSource:    v.evacuationSource(),
 		View:                v.view,
 		Timer:               config.Timer,
 		Log:                 config.Log.WithName("store"),
@@ -154,6 +159,7 @@
 		Lookup:             v.view.Endpoint,
 		IsFirstHome:        v.view.IsFirstHome,
 		ReportUnresponsive: func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
+		Places:             v.view,
 	})
 	v.newDependentComponents()
 	return v, nil
@@ -251,6 +257,7 @@
 		"gossip":        v.gossip.Run,
 		"failover":      v.failover.Run,
 		"maintenance":   v.runMaintenance,
+		"evacuations":   v.followEvacuations,
 	} {
 		go v.loop(running, task, loop)
 	}
