--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -46,6 +46,8 @@
 	ReportUnresponsive func(catalog.Endpoint)
 	// ReportFailing is called for endpoints that fail many of their statements; may be nil.
 	ReportFailing func(catalog.Endpoint)
+	// Places tells where requests may be sent; nil if there are no restrictions.
+	Places Places
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -147,6 +149,9 @@
 		h.clients[target.Key] = client
 	}
 	h.mu.Unlock()
+	if err := client.refusePlace(request); err != nil {
+		return nil, err
+	}
 	share := firstHomeShare
 	if !h.config.IsFirstHome(target) {
 		share = otherHomeShare
