Check the access to an endpoint once at each wait of a request

Tests for the dial, the setup in a transaction, position samples of a route with a recent sample, and an evacuated primary whose replicas do not catch up. The test of a home that learned first now moves the endpoints, which a repeated revision had prevented.

--- a/decision/evacuation/evacuation.go
+++ b/decision/evacuation/evacuation.go
@@ -12,8 +12,9 @@
 const (
 	// Margin is how long before the limit the last request is sent to an evacuated data centre,
 	// counted from when the first VM learned of the evacuation. A watch of the store may miss a
-	// change for 2.6 s plus 10% jitter, and the next one and the request itself take up to
-	// 0.3 s. The time that the set takes from VM to VM is covered by the ages that it carries.
+	// change for 2.6 s plus 10% jitter. The pause before the next watch, its answer and the
+	// request itself take up to 0.3 s. The time that the set takes from VM to VM is covered by
+	// the ages that it carries.
 	Margin = 3200 * time.Millisecond
 	// MaxAge is the largest age of an evacuation that is kept and passed on. An evacuation of
 	// which the beginning is unknown has this age, too.
--- a/engine/caller/places_test.go
+++ b/engine/caller/places_test.go
@@ -15,7 +15,7 @@
 
 // place moves endpoints of the fixture to other data centres.
 func (f *fixture) place(dataCentres map[string]string) {
-	moved := endpoints(2, "p")
+	moved := endpoints(f.view.Endpoints().Revision+1, "p")
 	for id, dataCentre := range dataCentres {
 		e := moved.ByID[id]
 		e.DataCentre = dataCentre
@@ -68,7 +68,7 @@
 		f.evacuate(0, "a2")
 		go func() {
 			time.Sleep(50 * time.Millisecond)
-			promoted := endpoints(3, "r2")
+			promoted := endpoints(f.view.Endpoints().Revision+1, "r2")
 			f.view.AcceptEndpoints(promoted, "test")
 		}()
 		expectServed(read("strict"), statement.Idle)
@@ -98,22 +98,29 @@
 
 	It("run at another endpoint if the home learned of the evacuation first", func() {
 		f.fleet.respond = refuseAt(refusal.NewNotRun(refusal.DataCentreEvacuated, "evacuated"), "p", "r1")
-		f.place(map[string]string{"r2": "b1"})
+		f.place(map[string]string{
+			"p":  "a1",
+			"r1": "a1",
+			"r2": "b1",
+		})
 		expectServed(read("bounded"), statement.Idle)
 		Expect(f.fleet.lastRun().Endpoint).To(Equal("r2"))
 		expectRefused(write(), refusal.NotRun, refusal.DataCentreEvacuated, statement.Idle)
 	})
 
 	It("cause no position samples there after the limit", func() {
-		f = newFixture().start()
-		f.place(map[string]string{"p": "a2"})
 		f.evacuate(evacuationLimit, "a2")
+		f.acceptSample(90)
+		// The sample is still recent enough, but due for a newer one.
+		time.Sleep(600 * time.Millisecond)
+		expectServed(read("bounded"), statement.Idle)
+		time.Sleep(500 * time.Millisecond)
 		expectRefused(expectImmediate(func() statement.Response { return read("bounded") }), refusal.NotRun, refusal.DataCentreEvacuated, statement.Idle)
 		Consistently(func() int {
 			f.fleet.mu.Lock()
 			defer f.fleet.mu.Unlock()
 			return len(f.fleet.runs)
-		}, 50*time.Millisecond).Should(BeZero())
+		}, 50*time.Millisecond).Should(Equal(1))
 	})
 })
 
--- a/engine/endpoint/evacuation.go
+++ b/engine/endpoint/evacuation.go
@@ -69,6 +69,18 @@
 	return refusal.NewNotRun(refusal.TransactionConflict, "the data centre of the endpoint is evacuated, so the transaction was rolled back")
 }
 
+// refusedStep returns the result of a transaction's step that may not be sent any more; nil if it
+// may.
+func refusedStep(client *endpointClient, request *peer.RunRequest) *peer.RunResponse {
+	err := client.refusePlace(request)
+	if err == nil {
+		return nil
+	}
+	result := errorResult(err)
+	result.Failed = true
+	return result
+}
+
 // closedTransactionRefusal returns the refusal of a step whose transaction is not open.
 func (h *Home) closedTransactionRefusal(request *peer.RunRequest) *refusal.Error {
 	if target, ok := h.config.Lookup(request.Endpoint); ok && h.config.access(target) == evacuation.Closed {
--- a/engine/endpoint/evacuation_test.go
+++ b/engine/endpoint/evacuation_test.go
@@ -68,14 +68,21 @@
 		}
 		Eventually(func() []string { return fake.commands() }).Should(HaveLen(2 * (target.Slots + 1)))
 		waiting := make(chan *peer.RunResponse, 1)
-		go func() { waiting <- home.Run(ctx, request(peer.StepSingle, "WRITE late")) }()
+		other := func(r *peer.RunRequest) { r.Workspace = "other" }
+		go func() { waiting <- home.Run(ctx, request(peer.StepSingle, "WRITE late", other)) }()
 		Consistently(waiting, 30*time.Millisecond).ShouldNot(Receive())
 		setAccess(evacuation.Closed)
 		close(fake.holdReads)
 		var result *peer.RunResponse
 		Eventually(waiting).Should(Receive(&result))
 		expectRefused(result, refusal.NotRun, refusal.DataCentreEvacuated)
-		Expect(fake.commands()).NotTo(ContainElement("WRITE late"))
+		Expect(fake.commands()).NotTo(Or(ContainElement("WRITE late"), ContainElement("start other")))
+	})
+
+	It("does not send statements whose connection was opened until after the limit", func() {
+		fake.onDial = func() { setAccess(evacuation.Closed) }
+		expectRefused(home.Run(ctx, request(peer.StepFirst, "WRITE late")), refusal.NotRun, refusal.DataCentreEvacuated)
+		expectCommands(fake, "start ws")
 	})
 
 	It("does not send statements whose connection was set up until after the limit", func() {
@@ -88,6 +95,18 @@
 		withValue := func(r *peer.RunRequest) { r.Values = map[string]string{"tz": "utc"} }
 		expectRefused(home.Run(ctx, request(peer.StepSingle, "WRITE late", withValue)), refusal.NotRun, refusal.DataCentreEvacuated)
 		Expect(fake.commands()).NotTo(ContainElement("WRITE late"))
+		setAccess(evacuation.Open)
+		expectServed(home.Run(ctx, request(peer.StepFirst, "WRITE a b")))
+		expectRefused(home.Run(ctx, request(peer.StepNext, "WRITE late", withValue)), refusal.NotRun, refusal.TransactionConflict)
+		Expect(fake.commands()).NotTo(ContainElement("WRITE late"))
+	})
+
+	It("sends no setup of a statement in a transaction after the limit", func() {
+		expectServed(home.Run(ctx, request(peer.StepFirst, "WRITE a b")))
+		setAccess(evacuation.Closed)
+		withValue := func(r *peer.RunRequest) { r.Values = map[string]string{"tz": "utc"} }
+		expectRefused(home.Run(ctx, request(peer.StepNext, "WRITE late", withValue)), refusal.NotRun, refusal.TransactionConflict)
+		expectCommands(fake, "start ws", "begin", "WRITE a b", "close")
 	})
 
 	It("continues open transactions until the limit and then rolls them back", func() {
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -40,6 +40,8 @@
 	// holdReads, if set, blocks the reply to each read until a value is sent or the
 	// channel is closed.
 	holdReads chan struct{}
+	// onDial is called when a connection was opened; may be nil.
+	onDial func()
 	// unreachable makes all attempts to connect fail.
 	unreachable bool
 	// unresponsiveReports counts the calls of Config.ReportUnresponsive.
@@ -68,6 +70,9 @@
 	}
 	f.open++
 	f.log = append(f.log, "start "+workspace)
+	if f.onDial != nil {
+		f.onDial()
+	}
 	return &fakeConnection{
 		fake:  f,
 		ended: make(chan struct{}),
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -114,15 +114,16 @@
 			result = h.commit(t, request, deadline)
 			return measuresServiceTime(result)
 		}
+		if result = refusedStep(t.client, request); result != nil {
+			return false
+		}
 		commands, name := t.connection.setupCommands(request.Values, request.Prepared, true)
 		if len(commands) > 0 {
 			if result = h.setUpConnection(t, commands, deadline); result != nil {
 				return false
 			}
 		}
-		if err := t.client.refusePlace(request); err != nil {
-			result = errorResult(err)
-			result.Failed = true
+		if result = refusedStep(t.client, request); result != nil {
 			return false
 		}
 		result = h.runStep(t, request, statementCommand(request, name), deadline)
--- a/engine/failover/places_test.go
+++ b/engine/failover/places_test.go
@@ -26,6 +26,27 @@
 	f.view.AcceptEvacuations(revision, ages, "test")
 }
 
+// requireSyncReplica makes commits wait for a replica.
+func (f *fixture) requireSyncReplica() {
+	f.view.AcceptConfiguration(&catalog.Configuration{
+		Version: 2,
+		Databases: map[string]catalog.Database{"db": {
+			Name:         "db",
+			SyncReplicas: 1,
+		}},
+	}, "test")
+}
+
+// awaitStepDown waits until the primary has stepped down.
+func (f *fixture) awaitStepDown() {
+	GinkgoHelper()
+	Eventually(func() bool {
+		f.database.mu.Lock()
+		defer f.database.mu.Unlock()
+		return f.database.primary == ""
+	}).WithTimeout(3 * time.Second).Should(BeTrue())
+}
+
 // queried returns the endpoints that received a control command since the last call.
 func (f *fixture) queried() []string {
 	f.database.mu.Lock()
@@ -77,23 +98,24 @@
 
 	It("stays if the evacuation is cancelled while no endpoint can succeed it", func() {
 		// Guards against a database without a primary after a cancelled evacuation.
-		f.view.AcceptConfiguration(&catalog.Configuration{
-			Version: 2,
-			Databases: map[string]catalog.Database{"db": {
-				Name:         "db",
-				SyncReplicas: 1,
-			}},
-		}, "test")
+		f.requireSyncReplica()
 		f.evacuate(1, "a1")
-		Eventually(func() bool {
-			f.database.mu.Lock()
-			defer f.database.mu.Unlock()
-			return f.database.primary == ""
-		}).WithTimeout(3 * time.Second).Should(BeTrue())
+		f.awaitStepDown()
 		f.evacuate(2)
 		f.expectPromotion("a")
 	})
 
+	It("does not lead again if no replica has received its whole log in time", func() {
+		// Guards against a primary that leads again and is then refused all writes.
+		f.requireSyncReplica()
+		f.evacuate(1, "a1")
+		f.awaitStepDown()
+		time.Sleep(1700 * time.Millisecond)
+		Expect(f.database.requestedPromotions()).To(BeEmpty())
+		f.reportEndpoints("", nil)
+		Eventually(f.database.requestedPromotions).WithTimeout(5 * time.Second).Should(Equal([]string{"c"}))
+	})
+
 	It("that is lost is replaced although it gets no statements any more", func() {
 		// Guards against a planned replacement that waits for ever for a primary that is gone,
 		// which no home reports because none sends it statements.
