Let the owner of a queue hold back its next item

Cause: a cold endpoint may have free slots and still take no further request.

Change: scheduling.Config.MayStart is asked before an item starts. Item.Requests and Queue.WaitingItems let the owner compute how long an item waits for a budget.

Result: without MayStart the queue behaves as before.

--- a/decision/scheduling/decision.go
+++ b/decision/scheduling/decision.go
@@ -21,8 +21,9 @@
 	Item Item
 }
 
-// Idle means that there is nothing to start: no item waits, or no slot is free.
-// Call Next again after Enqueue, Complete or ReleaseUnmeasured.
+// Idle means that there is nothing to start: no item waits, no slot is free, or
+// Config.MayStart holds back the next item. Call Next again after Enqueue, Complete or
+// ReleaseUnmeasured, or once MayStart would return true.
 type Idle struct{}
 
 // Refused means that the item was not accepted and has not run.
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -3,6 +3,8 @@
 package scheduling
 
 import (
+	"iter"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -56,6 +58,9 @@
 	// AdmitAll disables refusals at arrival and expiry before the deadline. The
 	// benchmark uses it as a baseline.
 	AdmitAll bool
+	// MayStart reports whether an item that is next may start now. If not, no item starts. It
+	// may be nil.
+	MayStart func(Item) bool
 }
 
 // Item is one statement that waits for a slot.
@@ -74,6 +79,8 @@
 	Priority int
 	// Target is the time until which a caller is well served; zero if there is none.
 	Target time.Time
+	// Requests is how many requests the endpoint gets for the item; only MayStart uses it.
+	Requests int
 }
 
 // Queue orders the statements of one endpoint.
@@ -197,6 +204,9 @@
 	if f == nil {
 		return Idle{}
 	}
+	if q.config.MayStart != nil && !q.config.MayStart((*f.queue(steps))[0].item) {
+		return Idle{}
+	}
 	q.virtualTime = max(q.virtualTime, q.minStartTag())
 	item := f.pop(steps)
 	delete(q.waitingItems, item.ID)
@@ -234,6 +244,11 @@
 	return q.waitingCount()
 }
 
+// WaitingItems returns the items that wait, in no particular order.
+func (q *Queue) WaitingItems() iter.Seq[Item] {
+	return maps.Values(q.waitingItems)
+}
+
 // removeExpired removes one item that can no longer finish before its deadline, if
 // there is one. It checks whole queues because an item can expire while more urgent
 // items are ahead of it.
