Limit the requests to cold endpoints at their home

Cause: a cold endpoint may get cold_per_s x cold_overage + cold_slack requests in any second from all VMs together. Homes did not limit what they send.

Change: the home asks the budget before the queue starts an item, before a position sample and before a command is repeated. Statements that the budget cannot reach before their deadline are refused with the time at which it has room. Only the first home of the ranking sends, or the second one while the first is lost; the others refuse as not run. The view keeps the end of the cold period and the share of this VM. Responses state the wait in EndpointReport.BudgetWait.

--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -72,23 +72,26 @@
 	// statements after having been idle.
 	lastProgress time.Time
 	sample       staleness.Sample
+	slow         slowStart
 }
 
 func newEndpointClient(config *Config, target catalog.Endpoint) *endpointClient {
 	if target.Slots <= 0 {
 		target.Slots = defaultSlots
 	}
-	return &endpointClient{
-		config: config,
-		target: target,
-		queue: scheduling.New(scheduling.Config{
-			Slots:              target.Slots + slotMargin,
-			MaxWait:            maxQueueWait,
-			InitialServiceTime: initialServiceTime,
-		}),
+	e := &endpointClient{
+		config:  config,
+		target:  target,
 		waiters: map[uint64]chan error{},
 		inUse:   map[*pooledConnection]struct{}{},
 	}
+	e.queue = scheduling.New(scheduling.Config{
+		Slots:              target.Slots + slotMargin,
+		MaxWait:            maxQueueWait,
+		InitialServiceTime: initialServiceTime,
+		MayStart:           e.mayStart,
+	})
+	return e
 }
 
 // runInSlot waits for a slot and calls run while it holds the slot. The function run
@@ -102,9 +105,10 @@
 	if err := e.awaitSlot(ctx, item, admitted, deadline); err != nil {
 		return err
 	}
+	e.bindReservation(request, item)
 	if e.config.Timer.SinceBoot()-arrivedBoot >= deadline.Sub(arrived) {
 		// This VM was suspended, which the deadline does not include.
-		e.releaseSlot(item, false)
+		e.releaseSlot(request, item, false)
 		return refusal.NewNotRun(refusal.QueueTimeout, "the VM was suspended until the timeout of the statement was over")
 	}
 	if waited := e.config.Timer.Now().Sub(arrived); waited > slowWaitThreshold {
@@ -113,15 +117,16 @@
 	}
 	measured := false
 	// The slot is released after a panic, too.
-	defer func() { e.releaseSlot(item, measured) }()
+	defer func() { e.releaseSlot(request, item, measured) }()
 	measured = run()
 	return nil
 }
 
 // releaseSlot ends an item that ran and starts the next ones.
-func (e *endpointClient) releaseSlot(item uint64, measured bool) {
+func (e *endpointClient) releaseSlot(request *peer.RunRequest, item uint64, measured bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.releaseReservation(request, item)
 	if measured {
 		e.queue.Complete(e.config.Timer.Now(), item)
 	} else {
@@ -138,7 +143,7 @@
 	now := e.config.Timer.Now()
 	e.lastUsed = now
 	e.nextItem++
-	decision := e.queue.Enqueue(now, scheduling.Item{
+	arriving := scheduling.Item{
 		ID:          e.nextItem,
 		Subject:     request.Workspace,
 		Weight:      1,
@@ -146,8 +151,12 @@
 		Deadline:    deadline,
 		Transaction: request.Step == peer.StepNext || request.Step == peer.StepCommit,
 		Priority:    request.Priority,
-	})
-	if refused, ok := decision.(scheduling.Refused); ok {
+		Requests:    requestCount(request),
+	}
+	if err := e.refuseIfBudgetSpent(request, arriving); err != nil {
+		return 0, nil, err
+	}
+	if refused, ok := e.queue.Enqueue(now, arriving).(scheduling.Refused); ok {
 		return 0, nil, &refusal.Error{
 			Outcome:    refusal.NotRun,
 			Reason:     refused.Reason,
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
@@ -41,6 +42,13 @@
 	Lookup func(id string) (catalog.Endpoint, bool)
 	// IsFirstHome reports whether this VM is ranked first among the endpoint's homes.
 	IsFirstHome func(catalog.Endpoint) bool
+	// Coldness returns what is known about a cold endpoint; may be nil.
+	Coldness func(catalog.Endpoint) slowstart.Coldness
+	// ColdTolerance states what cold endpoints tolerate.
+	ColdTolerance slowstart.Config
+	// CheckFirstHome is called to check whether this VM reaches the first home of an endpoint;
+	// may be nil. It returns immediately.
+	CheckFirstHome func(catalog.Endpoint)
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
 	// Metrics is set by New.
@@ -51,6 +59,11 @@
 	connectionsOpened metrics.Counter
 	statements        metrics.Counter
 	openTransactions  metrics.Gauge
+	// coldEndpoints is the number of endpoints whose requests are limited after their start.
+	coldEndpoints metrics.Counter
+	// coldRequests counts the requests sent to cold endpoints, coldWaits the statements that had
+	// to wait for a budget, and coldRefused those that were refused.
+	coldRequests, coldWaits, coldRefused metrics.Counter
 }
 
 // Home holds the connections of this VM to the endpoints of which it is the home, and
@@ -71,6 +84,10 @@
 		connectionsOpened: metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
 		statements:        metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
 		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
+		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
+		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
+		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
+		coldRefused:       metrics.GetOrRegisterCounter("endpoint.coldRefused", config.Registry),
 	}
 	return &Home{
 		config:       config,
@@ -86,6 +103,7 @@
 	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
+	h.reportBudget(request, result)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
 		return result
 	}
@@ -137,6 +155,9 @@
 		share = otherHomeShare
 	}
 	client.setLimit(int(share * float64(request.MaxConnections)))
+	if err := client.refuseIfNotColdHome(); err != nil {
+		return nil, err
+	}
 	return client, nil
 }
 
@@ -164,7 +185,7 @@
 		for {
 			var retry bool
 			result, retry = h.tryRunSingle(ctx, client, request, deadline)
-			if !retry {
+			if !retry || !client.reserveAgain(request, requestCount(request)) {
 				return measuresServiceTime(result)
 			}
 		}
@@ -288,6 +309,9 @@
 		client.closeIdleSince(now.Add(-maxIdleTime))
 		client.mu.Lock()
 		unused := now.Sub(client.lastUsed) > idleClientTimeout && client.pinnedConnections == 0
+		if client.updateSlowStart() && unused && !exists(key) {
+			client.endSlowStart()
+		}
 		client.mu.Unlock()
 		switch {
 		case unused && !exists(key):
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -41,6 +41,9 @@
 // that are set on it.
 type pooledConnection struct {
 	Connection
+	client *endpointClient
+	// request is the request for which the connection was used last.
+	request        *peer.RunRequest
 	workspace      string
 	values         map[string]string
 	preparedNames  map[statement.Prepared]string
@@ -57,6 +60,7 @@
 // Run runs commands and records the transaction state after them, and whether a setup command
 // failed or the endpoint does not know a prepared statement.
 func (p *pooledConnection) Run(timeout time.Duration, commands []Command) ([]Reply, error) {
+	p.client.recordSend(p.request, commands)
 	replies, err := p.Connection.Run(timeout, commands)
 	p.state = statement.InFailedTransaction
 	if err == nil && len(replies) > 0 {
@@ -168,6 +172,7 @@
 			return nil, err
 		}
 		if found != nil {
+			found.request = request
 			return found, nil
 		}
 		opened, err := e.dial(ctx, request.Workspace)
@@ -178,6 +183,9 @@
 			}
 			return nil, refusalFromReply(refused)
 		}
+		if err == nil {
+			opened.request = request
+		}
 		return opened, err
 	}
 }
@@ -222,6 +230,7 @@
 		e.config.Metrics.connectionsOpened.Inc(1)
 		c := &pooledConnection{
 			Connection: opened,
+			client:     e,
 			workspace:  workspace,
 		}
 		e.mu.Lock()
--- a/engine/endpoint/sample.go
+++ b/engine/endpoint/sample.go
@@ -27,6 +27,10 @@
 			Age:           h.config.Timer.SinceBoot() - sample.At,
 		}
 	}
+	if err := client.reserveSample(request); err != nil {
+		return errorResult(err)
+	}
+	defer client.releaseSample(request)
 	beganBoot := h.config.Timer.SinceBoot()
 	c := client.takeAnyIdle()
 	if c == nil {
@@ -34,6 +38,7 @@
 			return errorResult(err)
 		}
 	}
+	c.request = request
 	replies, err := c.Run(request.Timeout, []Command{Begin{}, Rollback{}})
 	if err != nil {
 		client.put(c, false)
@@ -72,7 +77,11 @@
 func (e *endpointClient) recentSample(boot time.Duration) (staleness.Sample, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.sample, !e.sample.Position.IsZero() && boot-e.sample.At <= sampleTTL
+	ttl := sampleTTL
+	if e.slow.budget != nil {
+		ttl = coldSampleTTL
+	}
+	return e.sample, !e.sample.Position.IsZero() && boot-e.sample.At <= ttl
 }
 
 // storeSample keeps a position sample if it is newer than the last.
--- a/engine/endpoint/setup.go
+++ b/engine/endpoint/setup.go
@@ -48,7 +48,8 @@
 		client.put(c, false)
 		h.config.Log.Info("Could not set up a connection for a statement.", "request", request.ID, "endpoint", client.target.Key.ID,
 			"attempt", attempt, "problem", refused.Message)
-		if attempt == maxSetupAttempts || ctx.Err() != nil || deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+		if attempt == maxSetupAttempts || ctx.Err() != nil || deadline.Sub(h.config.Timer.Now()) < minRetryTimeout ||
+			!client.reserveAgain(request, countRequests(further)) {
 			return nil, "", nil, refused
 		}
 	}
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -105,6 +105,7 @@
 		return refusedResult(refusal.NewNotRun(refusal.TransactionUnknown, "the transaction is no longer open"))
 	}
 	t.lastUsed = h.config.Timer.Now()
+	t.connection.request = request
 	var result *peer.RunResponse
 	err := t.client.runInSlot(ctx, request, deadline, func() bool {
 		if request.Step == peer.StepCommit {
@@ -186,7 +187,7 @@
 		t.client.recordResponse()
 		reply := replies[0]
 		if reply.Err == nil || reply.Err.Code != Busy || reply.State != statement.InTransaction ||
-			deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+			deadline.Sub(h.config.Timer.Now()) < minRetryTimeout || !t.client.awaitResend(request, deadline) {
 			t.ended = reply.State != statement.Idle
 			return resultFromReply(reply, t.hasWrites)
 		}
@@ -230,8 +231,12 @@
 }
 
 // rollBackOnConnection rolls back the transaction that is open on a connection, and
-// reports whether the connection can be reused.
+// reports whether the connection can be reused. If the budget of a cold endpoint has no room, the
+// connection has to be closed instead, on which the endpoint rolls back as well.
 func rollBackOnConnection(c *pooledConnection) bool {
+	if !c.client.reserveAgain(c.request, 1) {
+		return false
+	}
 	replies, err := c.Run(rollBackTimeout, []Command{Rollback{}})
 	return err == nil && replies[0].State == statement.Idle
 }
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -70,6 +70,16 @@
 	// drainingSince is the time, as a reading of SinceBoot, at which this VM learned that the
 	// endpoint is draining; 0 if it is not.
 	drainingSince time.Duration
+	// coldUntil is the reading of SinceBoot at which the cold period of the endpoint ends; 0 if
+	// there was none.
+	coldUntil time.Duration
+	// budgetSpentUntil is the time until which the endpoint takes no statements because it is
+	// cold, as its home has reported.
+	budgetSpentUntil time.Time
+	// lostHome is the first home of the endpoint, if it was not available at lostHomeAt, a
+	// reading of SinceBoot. Only isHomeLost uses them.
+	lostHome   string
+	lostHomeAt time.Duration
 }
 
 // database returns the state of a database. The caller holds the lock.
@@ -106,6 +116,7 @@
 	if current.Role != catalog.RolePrimary && previous.Key == current.Key && previous.Role == catalog.RolePrimary {
 		d.endpoint(current.Key).demoted = true
 	}
+	d.endpoint(current.Key).recordColdness(previous, current, now)
 	switch state := d.endpoint(current.Key); {
 	case !current.Draining:
 		state.drainingSince = 0
@@ -218,6 +229,7 @@
 			Region:             v.Region(e.DataCentre),
 			Primary:            hasPrimary && e.Key == primary.Key,
 			Slots:              e.Slots,
+			Penalty:            state.budgetPenalty(now),
 			InFlight:           state.inFlight,
 			ServiceTime:        state.meanStatementTime,
 			ReportedWait:       state.queueWait,
@@ -272,6 +284,8 @@
 	Duration time.Duration
 	// QueueWait is the wait for a slot that the home expects.
 	QueueWait time.Duration
+	// BudgetWait is how long the endpoint takes no statements because it is cold.
+	BudgetWait time.Duration
 	// Position is the endpoint's log position; zero if it is unknown.
 	Position logpos.Position
 	// ProvedPrimary is set if the endpoint proved that it is the primary.
@@ -299,6 +313,7 @@
 	}
 	state.queueWait = outcome.QueueWait
 	state.queueWaitAt = now
+	state.recordBudgetWait(now, outcome.BudgetWait)
 	state.position = logpos.Max(state.position, outcome.Position)
 	if !outcome.MissingPosition.IsZero() {
 		state.missingPosition = outcome.MissingPosition
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/engine/caller"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
@@ -98,6 +99,8 @@
 	startedAt   time.Duration
 	leaving     atomic.Bool
 	ready       atomic.Bool
+	// checkingFirstHome is set while checkFirstHome calls a VM.
+	checkingFirstHome atomic.Bool
 	// cutOff is set while this VM may not use its shares of limits any more. usedShares is set
 	// once it could; only runMaintenance uses it.
 	cutOff     atomic.Bool
@@ -147,12 +150,18 @@
 		IsSeed:              slices.Contains(config.Seeds, config.Self.Address),
 	})
 	v.home = endpoint.New(endpoint.Config{
-		Dialer:             config.Dialer,
-		Timer:              config.Timer,
-		Log:                config.Log.WithName("endpoint"),
-		Registry:           config.Registry,
-		Lookup:             v.view.Endpoint,
-		IsFirstHome:        v.view.IsFirstHome,
+		Dialer:      config.Dialer,
+		Timer:       config.Timer,
+		Log:         config.Log.WithName("endpoint"),
+		Registry:    config.Registry,
+		Lookup:      v.view.Endpoint,
+		IsFirstHome: v.view.IsFirstHome,
+		Coldness:    v.view.Coldness,
+		ColdTolerance: slowstart.Config{
+			Overage: config.ColdOverage,
+			Slack:   config.ColdSlack,
+		},
+		CheckFirstHome:     v.checkFirstHome,
 		ReportUnresponsive: func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
 	})
 	v.newDependentComponents()
