Send statements elsewhere while a cold endpoint takes none

Cause: a read that a second endpoint refuses as overloaded is refused, and a refusal by a VM that is not the home of a cold endpoint ends a statement.

Change: reads that are refused because of a budget go on to the next endpoint and at last to the primary. Writes that no VM accepts as the home are tried again. The wait that homes report is recorded as a penalty of the endpoint.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -77,7 +77,8 @@
 		if d.remaining() < minSendTimeout || ctx.Err() != nil {
 			return result
 		}
-		if result.Refused.Reason == refusal.NotPrimary || (result.Refused.Reason == refusal.Unreachable && d.needsPrimary()) {
+		homeUnknown := result.Refused.Reason == refusal.Unreachable || result.Refused.Reason == refusal.NotReady
+		if result.Refused.Reason == refusal.NotPrimary || (homeUnknown && d.needsPrimary()) {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
@@ -176,6 +177,7 @@
 	result := d.tryHomes(ctx, target)
 	outcome := view.StatementOutcome{
 		QueueWait:     result.ExpectedWait,
+		BudgetWait:    result.Report.BudgetWait,
 		Position:      result.Position,
 		ProvedPrimary: result.ProvedPrimary,
 	}
@@ -200,7 +202,9 @@
 		outcome.Unreachable = true
 		final = result.Refused.Outcome != refusal.NotRun
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		final = d.needsPrimary() || len(d.excluded) > 0
+		final = d.needsPrimary() || (len(d.excluded) > 0 && !isBudgetRefusal(result))
+	case refusal.NotReady:
+		final = !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
 		final = d.request.Write || d.request.Step == peer.StepFirst
 	}
@@ -216,6 +220,12 @@
 	return result, final
 }
 
+// isBudgetRefusal reports whether a statement was refused because the endpoint is cold: its home
+// has no budget left, or the VMs that were asked do not take themselves for its home.
+func isBudgetRefusal(result *peer.RunResponse) bool {
+	return result.Report.BudgetWait > 0 && result.Refused.Outcome == refusal.NotRun
+}
+
 // exclude leaves an endpoint out of the further attempts of this statement.
 func (d *dispatch) exclude(target catalog.Endpoint) {
 	if d.excluded == nil {
