Test that a VM sends no position samples to a foreign cold endpoint

Cause: the test of a VM that is not the home passed without the check at arrival, since the queue refuses statements, too.

Change: the test also requests a position sample, which takes no slot.

Result: the test fails without the check.

--- a/engine/endpoint/slowstart_test.go
+++ b/engine/endpoint/slowstart_test.go
@@ -155,6 +155,8 @@
 		ran := home.Run(ctx, write())
 		expectRefused(ran, refusal.NotRun, refusal.NotReady)
 		Expect(ran.Report.BudgetWait).To(BeNumerically(">", 0))
+		clock.Advance(2 * time.Second)
+		expectRefused(home.Run(ctx, request(peer.StepPosition, "")), refusal.NotRun, refusal.NotReady)
 		Expect(received).To(BeEmpty())
 	})
 
