Place homes by the sizes that VMs state in their registrations

Cause: VMs with 0.134 of a core are the home of as many endpoints as those with 0.8.

Change: registrations have the cores and the link bandwidth of the settings, which VMs of older builds ignore. The ranking of homes is weighted by them; a VM that states none counts as one of the smallest. The digest of the registrations includes stated sizes.

With equal sizes, or none, the homes and the digest are as before.

--- a/engine/catalog/catalog.go
+++ b/engine/catalog/catalog.go
@@ -160,6 +160,8 @@
 	Address    netip.AddrPort
 	// Incarnation is different for each start of the process.
 	Incarnation uint64
+	// Size is zero if the VM does not state it.
+	Size VMSize
 	// Revision is the store's revision of the registration.
 	Revision uint64
 	// Lapsed means that the VM has no registration any more, but still a claim to its shares
--- a/engine/catalog/digest.go
+++ b/engine/catalog/digest.go
@@ -38,6 +38,9 @@
 			continue
 		}
 		_, _ = fmt.Fprintf(digest, "%s %s %s %s %d\n", name, vm.DataCentre, vm.Region, vm.Address, vm.Incarnation)
+		if vm.Size != (VMSize{}) {
+			_, _ = fmt.Fprintln(digest, "size", vm.Size.Cores, vm.Size.LinkMbps)
+		}
 		if vm.Unclaimed {
 			_, _ = fmt.Fprintln(digest, "unclaimed")
 		}
--- a/engine/catalog/digest_test.go
+++ b/engine/catalog/digest_test.go
@@ -62,4 +62,20 @@
 		Expect(fleet("a", 1)).NotTo(Equal(fleet("b", 1)))
 		Expect(fleet("a", 1)).NotTo(Equal(fleet("a", 2)))
 	})
+
+	It("changes with the size of a VM that states one", func() {
+		// Guards against VMs that rank homes by different sizes, and against a digest that
+		// differs from that of an older build although no VM states a size.
+		digest := func(size catalog.VMSize) uint64 {
+			return (&catalog.VMSnapshot{ByName: map[string]catalog.VM{"a": {
+				Name:        "a",
+				Incarnation: 1,
+				Size:        size,
+			}}}).Digest()
+		}
+		const olderBuild = 3149105378145799264
+		Expect(digest(catalog.VMSize{})).To(Equal(uint64(olderBuild)))
+		Expect(digest(catalog.VMSize{Cores: 1})).NotTo(Equal(uint64(olderBuild)))
+		Expect(digest(catalog.VMSize{Cores: 1})).NotTo(Equal(digest(catalog.VMSize{LinkMbps: 1})))
+	})
 })
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -308,6 +308,7 @@
 			Region:      "a",
 			Address:     netip.MustParseAddrPort("10.0.0.9:7560"),
 			Incarnation: 1,
+			Size:        catalog.VMSize{Cores: 2},
 		},
 		Timer:       service,
 		Log:         logr.Discard(),
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -51,6 +51,9 @@
 	Region      string         `json:"region"`
 	Address     netip.AddrPort `json:"address"`
 	Incarnation uint64         `json:"incarnation"`
+	// Cores and LinkMbps are the size of the VM. VMs of older builds neither state nor read them.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
 // Register keeps this VM registered until the context ends, and then deletes its
@@ -107,6 +110,8 @@
 		Region:      self.Region,
 		Address:     self.Address,
 		Incarnation: self.Incarnation,
+		Cores:       self.Size.Cores,
+		LinkMbps:    self.Size.LinkMbps,
 	})
 	if err != nil {
 		return 0, eris.Wrap(err, "encode the registration")
@@ -376,7 +381,11 @@
 			Region:      r.Region,
 			Address:     r.Address,
 			Incarnation: r.Incarnation,
-			Revision:    item.Revision,
+			Size: catalog.VMSize{
+				Cores:    max(r.Cores, 0),
+				LinkMbps: max(r.LinkMbps, 0),
+			},
+			Revision: item.Revision,
 		}
 	}
 	return vms
--- a/engine/store/sync_test.go
+++ b/engine/store/sync_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/timer"
 )
@@ -211,6 +212,34 @@
 		Eventually(func() []string { return f.fake.keys("amaranthdock/vms/") }).WithTimeout(4 * time.Second).Should(HaveLen(1))
 	})
 
+	It("states the size of a VM, which an older build may lack", func() {
+		// Guards against homes that are ranked without sizes, and against a VM that is missing
+		// because it states none.
+		f := newFixture()
+		f.fake.set(func() {
+			for name, size := range map[string]string{"sized": `,"cores":0.8,"linkMbps":200`, "odd": `,"cores":-1`, "older": ""} {
+				key := "amaranthdock/vms/" + name
+				f.fake.items[key] = store.Item{
+					Key:   key,
+					Value: []byte(strings.Replace(validRegistration, "}", size+"}", 1)),
+				}
+			}
+		})
+		go f.syncer.Register(f.ctx)
+		go f.syncer.FollowFleet(f.ctx)
+		Eventually(f.fleet).WithTimeout(3 * time.Second).Should(ConsistOf("self", "sized", "odd", "older"))
+		vms := f.view.VMs().ByName
+		Expect(vms["sized"].Size).To(Equal(catalog.VMSize{
+			Cores:    0.8,
+			LinkMbps: 200,
+		}))
+		Expect(vms["odd"].Size).To(BeZero())
+		Expect(vms["older"].Size).To(BeZero())
+		f.fake.mu.Lock()
+		defer f.fake.mu.Unlock()
+		Expect(string(f.fake.items["amaranthdock/vms/self"].Value)).To(HaveSuffix(`"incarnation":1,"cores":2}`))
+	})
+
 	DescribeTable("of another VM is skipped if it cannot be decoded",
 		// Guards against an odd entry that hides the registrations, ends the process that reads
 		// it, or counts as a VM that holds shares of limits.
--- a/engine/view/fleet.go
+++ b/engine/view/fleet.go
@@ -70,6 +70,10 @@
 		if vm.Lapsed && before.Address.IsValid() {
 			vm.DataCentre, vm.Region, vm.Address, vm.Incarnation = before.DataCentre, before.Region, before.Address, before.Incarnation
 		}
+		if vm.Incarnation == before.Incarnation && vm.Size == (catalog.VMSize{}) {
+			// A VM of an older build, which does not know sizes, has passed the registration on.
+			vm.Size = before.Size
+		}
 		if before.Same(vm) {
 			vm.Revision = max(before.Revision, vm.Revision)
 		} else {
--- a/engine/view/homes.go
+++ b/engine/view/homes.go
@@ -7,7 +7,7 @@
 
 // Homes returns up to count VMs that may be the home of an endpoint, which is the VM that
 // holds all connections to it. The best come first: those in the endpoint's data centre,
-// then those in its region, then the others, each group in the order of rendezvous hashing.
+// then those in its region, then the others, each group in the order of rendezvous hashing, weighted by size.
 // VMs that are leaving or unreachable come last instead of being left out, so that the
 // result is never empty.
 func (v *View) Homes(endpoint catalog.Endpoint, count int) []catalog.VM {
@@ -78,9 +78,10 @@
 			otherRegions = append(otherRegions, candidate)
 		}
 	}
+	weights := v.homeWeights()
 	ranked := make([]catalog.VM, 0, len(vms)+1)
 	for _, group := range [][]routing.VM{sameDataCentre, sameRegion, otherRegions} {
-		for _, candidate := range routing.Rank(endpoint.Key.ID, group) {
+		for _, candidate := range routing.RankWeighted(endpoint.Key.ID, group, weights) {
 			ranked = append(ranked, vms[candidate.Name])
 		}
 	}
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/engine/caller"
 	"amaranthdock.dev/engine/catalog"
@@ -117,6 +118,9 @@
 	if config.Store == nil || config.ConfigurationSource == nil || config.ReportSource == nil || config.Promoter == nil || config.Dialer == nil {
 		return nil, eris.New("vm: Config lacks Store, ConfigurationSource, ReportSource, Promoter or Dialer")
 	}
+	config.Self.Size = config.Size
+	homeWeight := routing.HomeWeight(config.Size.Cores, config.Size.LinkMbps)
+	metrics.GetOrRegisterGauge("fleet.homeWeight", config.Registry).Update(int64(homeWeight))
 	v := &VM{
 		config:      config,
 		connections: caller.NewConnectionSet(config.Timer),
@@ -238,7 +242,7 @@
 // may exit when Run returns.
 func (v *VM) Run(ctx context.Context) error {
 	v.config.Log.Info("Starting.", "dataCentre", v.config.Self.DataCentre, "address", v.config.Self.Address.String(),
-		"incarnation", v.config.Self.Incarnation)
+		"incarnation", v.config.Self.Incarnation, "cores", v.config.Self.Size.Cores, "linkMbps", v.config.Self.Size.LinkMbps)
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	registered, deregister := context.WithCancel(running)
