--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -83,7 +83,9 @@
 		if d.remaining() < minSendTimeout || ctx.Err() != nil {
 			return result
 		}
-		if reason := result.Refused.Reason; reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (reason == refusal.Unreachable && d.needsPrimary()) {
+		reason := result.Refused.Reason
+		homeUnknown := reason == refusal.Unreachable || reason == refusal.NotReady
+		if reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (homeUnknown && d.needsPrimary()) {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
@@ -185,6 +187,7 @@
 	result := d.tryHomes(ctx, target)
 	outcome := view.StatementOutcome{
 		QueueWait:     result.ExpectedWait,
+		BudgetWait:    result.Report.BudgetWait,
 		Position:      result.Position,
 		ProvedPrimary: result.ProvedPrimary,
 		Ejected:       result.Report.Ejected,
@@ -217,7 +220,9 @@
 		// The home learned of the evacuation first.
 		final = !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		final = d.needsPrimary() || len(d.excluded) > 0
+		final = d.needsPrimary() || (len(d.excluded) > 0 && !isBudgetRefusal(result))
+	case refusal.NotReady:
+		final = !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
 		final = d.request.Write || d.request.Step == peer.StepFirst
 	}
@@ -233,6 +238,12 @@
 	return result, final
 }
 
+// isBudgetRefusal reports whether a statement was refused because the endpoint is cold: its home
+// has no budget left, or the VMs that were asked do not take themselves for its home.
+func isBudgetRefusal(result *peer.RunResponse) bool {
+	return result.Report.BudgetWait > 0 && result.Refused.Outcome == refusal.NotRun
+}
+
 // exclude leaves an endpoint out of the further attempts of this statement.
 func (d *dispatch) exclude(target catalog.Endpoint) {
 	if d.excluded == nil {
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -13,6 +13,7 @@
 
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/retries"
+	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
@@ -42,6 +43,13 @@
 	Lookup func(id string) (catalog.Endpoint, bool)
 	// IsFirstHome reports whether this VM is ranked first among the endpoint's homes.
 	IsFirstHome func(catalog.Endpoint) bool
+	// Coldness returns what is known about a cold endpoint; may be nil.
+	Coldness func(catalog.Endpoint) slowstart.Coldness
+	// ColdTolerance states what cold endpoints tolerate.
+	ColdTolerance slowstart.Config
+	// CheckFirstHome is called to check whether this VM reaches the first home of an endpoint;
+	// may be nil. It returns immediately.
+	CheckFirstHome func(catalog.Endpoint)
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
 	// ReportFailing is called for endpoints that fail many of their statements; may be nil.
@@ -60,6 +68,11 @@
 	// sent again after a busy reply.
 	ejections   metrics.Counter
 	busyRetries metrics.Counter
+	// coldEndpoints is the number of endpoints whose requests are limited after their start.
+	coldEndpoints metrics.Counter
+	// coldRequests counts the requests sent to cold endpoints, coldWaits the statements that had
+	// to wait for a budget, and coldRefused those that were refused.
+	coldRequests, coldWaits, coldRefused metrics.Counter
 }
 
 // Home holds the connections of this VM to the endpoints of which it is the home, and
@@ -84,6 +97,10 @@
 		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
 		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
 		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
+		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
+		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
+		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
+		coldRefused:       metrics.GetOrRegisterCounter("endpoint.coldRefused", config.Registry),
 	}
 	return &Home{
 		config:       config,
@@ -103,6 +120,7 @@
 	if client, ok := h.existingClient(request.Endpoint); ok {
 		result.Report.Ejected = client.isEjected()
 	}
+	h.reportBudget(request, result)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
 		return result
 	}
@@ -157,6 +175,9 @@
 		share = otherHomeShare
 	}
 	client.setLimit(int(share * float64(request.MaxConnections)))
+	if err := client.refuseIfNotColdHome(); err != nil {
+		return nil, err
+	}
 	return client, nil
 }
 
@@ -188,7 +209,7 @@
 		for {
 			var retry bool
 			result, retry = h.tryRunSingle(ctx, client, request, deadline)
-			if !retry {
+			if !retry || !client.reserveAgain(request, requestCount(request)) {
 				return measuresServiceTime(result)
 			}
 		}
@@ -337,6 +358,9 @@
 		client.closeIdleSince(now.Add(-maxIdleTime))
 		client.mu.Lock()
 		unused := now.Sub(client.lastUsed) > idleClientTimeout && client.pinnedConnections == 0
+		if client.updateSlowStart() && unused && !exists(key) {
+			client.endSlowStart()
+		}
 		client.mu.Unlock()
 		switch {
 		case unused && !exists(key):
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -327,6 +327,7 @@
 			Region:      "a",
 			Address:     netip.MustParseAddrPort("10.0.0.9:7560"),
 			Incarnation: 1,
+			Size:        catalog.VMSize{Cores: 2},
 		},
 		Timer:       service,
 		Log:         logr.Discard(),
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -48,14 +46,6 @@
 	renewalsPerTTL       = 2
 )
 
-// registration is the value that is stored under a VM's key.
-type registration struct {
-	DataCentre  string         `json:"dataCentre"`
-	Region      string         `json:"region"`
-	Address     netip.AddrPort `json:"address"`
-	Incarnation uint64         `json:"incarnation"`
-}
-
 // renewalInterval returns the time between two renewals of the registration.
 func (s *Syncer) renewalInterval() time.Duration {
 	if s.ReadsStore() {
@@ -118,6 +108,8 @@
 		Region:      self.Region,
 		Address:     self.Address,
 		Incarnation: self.Incarnation,
+		Cores:       self.Size.Cores,
+		LinkMbps:    self.Size.LinkMbps,
 	})
 	if err != nil {
 		return 0, eris.Wrap(err, "encode the registration")
@@ -347,48 +339,3 @@
 	}
 	return false
 }
-
-// decodeRegistration decodes a registration. One that is not complete does not name a VM.
-func decodeRegistration(name string, value []byte) (registration, error) {
-	var r registration
-	if err := json.Unmarshal(value, &r); err != nil {
-		return registration{}, eris.Wrap(err, "decode the registration")
-	}
-	if name == "" || r.DataCentre == "" || r.Region == "" || r.Address.Port() == 0 || r.Incarnation == 0 {
-		return registration{}, eris.New("a field of the registration is missing")
-	}
-	return r, nil
-}
-
-// decodeRegistrations returns the VMs and the leader. It skips registrations that cannot
-// be decoded.
-func (s *Syncer) decodeRegistrations(items []Item, revision uint64) *catalog.VMSnapshot {
-	vms := &catalog.VMSnapshot{
-		Revision: revision,
-		ByName:   map[string]catalog.VM{},
-	}
-	for _, item := range items {
-		if item.Key == LeaderKey {
-			vms.Leader = string(item.Value)
-			continue
-		}
-		name, ok := strings.CutPrefix(item.Key, vmPrefix)
-		if !ok {
-			continue
-		}
-		r, err := decodeRegistration(name, item.Value)
-		if err != nil {
-			s.config.Log.Info("Could not decode a registration.", "key", item.Key, "error", err.Error())
-			continue
-		}
-		vms.ByName[name] = catalog.VM{
-			Name:        name,
-			DataCentre:  r.DataCentre,
-			Region:      r.Region,
-			Address:     r.Address,
-			Incarnation: r.Incarnation,
-			Revision:    item.Revision,
-		}
-	}
-	return vms
-}
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -18,11 +18,6 @@
 	initialStatementTime = 30 * time.Millisecond
 	// unreachableRetryDelay is how long reads avoid an endpoint that no home could reach.
 	unreachableRetryDelay = 500 * time.Millisecond
-	// ejectedRetryDelay is how long reads avoid an endpoint whose home has ejected it, and
-	// ejectedPenalty is how much longer they may take elsewhere. The home refuses them anyway,
-	// except for probes.
-	ejectedRetryDelay = 500 * time.Millisecond
-	ejectedPenalty    = 150 * time.Millisecond
 	// announcementTTL is how long the leader's announcement of a new primary overrides the
 	// endpoints' reports. The new primary's own report arrives after its next heartbeat
 	// and the next poll.
@@ -79,6 +74,16 @@
 	// drainingSince is the time, as a reading of SinceBoot, at which this VM learned that the
 	// endpoint is draining; 0 if it is not.
 	drainingSince time.Duration
+	// coldUntil is the reading of SinceBoot at which the cold period of the endpoint ends; 0 if
+	// there was none.
+	coldUntil time.Duration
+	// budgetSpentUntil is the time until which the endpoint takes no statements because it is
+	// cold, as its home has reported.
+	budgetSpentUntil time.Time
+	// lostHome is the first home of the endpoint, if it was not available at lostHomeAt, a
+	// reading of SinceBoot. Only isHomeLost uses them.
+	lostHome   string
+	lostHomeAt time.Duration
 }
 
 // database returns the state of a database. The caller holds the lock.
@@ -115,6 +120,7 @@
 	if current.Role != catalog.RolePrimary && previous.Key == current.Key && previous.Role == catalog.RolePrimary {
 		d.endpoint(current.Key).demoted = true
 	}
+	d.endpoint(current.Key).recordColdness(previous, current, now)
 	switch state := d.endpoint(current.Key); {
 	case !current.Draining:
 		state.drainingSince = 0
@@ -221,17 +227,13 @@
 		if now.Before(state.unreachableUntil) {
 			continue
 		}
-		penalty := time.Duration(0)
-		if now.Before(state.avoidUntil) {
-			penalty = ejectedPenalty
-		}
 		candidates = append(candidates, placement.Candidate{
-			Penalty:            penalty,
 			ID:                 e.Key.ID,
 			DataCentre:         e.DataCentre,
 			Region:             v.Region(e.DataCentre),
 			Primary:            hasPrimary && e.Key == primary.Key,
 			Slots:              e.Slots,
+			Penalty:            state.budgetPenalty(now) + state.ejectionPenalty(now),
 			InFlight:           state.inFlight,
 			ServiceTime:        state.meanStatementTime,
 			ReportedWait:       state.queueWait,
@@ -286,6 +288,8 @@
 	Duration time.Duration
 	// QueueWait is the wait for a slot that the home expects.
 	QueueWait time.Duration
+	// BudgetWait is how long the endpoint takes no statements because it is cold.
+	BudgetWait time.Duration
 	// Position is the endpoint's log position; zero if it is unknown.
 	Position logpos.Position
 	// ProvedPrimary is set if the endpoint proved that it is the primary.
@@ -315,6 +319,7 @@
 	}
 	state.queueWait = outcome.QueueWait
 	state.queueWaitAt = now
+	state.recordBudgetWait(now, outcome.BudgetWait)
 	state.position = logpos.Max(state.position, outcome.Position)
 	if !outcome.MissingPosition.IsZero() {
 		state.missingPosition = outcome.MissingPosition
