Log the end of the use of a data centre once, and save work without restrictions

Cause: the home of an evacuated primary would log that its last statement had ended at each pause between two writes. Statements without allowed regions copied their candidates, and the test for evacuations sorted an empty set for each statement.

Change: the end is logged once no write may start any more. Without restrictions there is no copy and no sorting.

--- a/decision/evacuation/evacuation.go
+++ b/decision/evacuation/evacuation.go
@@ -106,6 +106,9 @@
 // DataCentres returns the evacuated data centres in sorted order.
 func (s Set) DataCentres() []string { return slices.Sorted(maps.Keys(s.begunAt)) }
 
+// IsEmpty reports whether no data centre is evacuated.
+func (s Set) IsEmpty() bool { return len(s.begunAt) == 0 }
+
 // Contains reports whether a data centre is evacuated.
 func (s Set) Contains(dataCentre string) bool {
 	_, ok := s.begunAt[dataCentre]
--- a/engine/caller/places.go
+++ b/engine/caller/places.go
@@ -17,8 +17,12 @@
 
 // candidates returns the endpoints that may run the statement if it is a read.
 func (d *dispatch) candidates() []placement.Candidate {
+	all := d.session.manager.config.View.Candidates(d.auth.database.Name, d.excluded)
+	if d.auth.regions == "" {
+		return all
+	}
 	var allowed []placement.Candidate
-	for _, c := range d.session.manager.config.View.Candidates(d.auth.database.Name, d.excluded) {
+	for _, c := range all {
 		if d.auth.regions.Allows(c.Region) {
 			allowed = append(allowed, c)
 		}
@@ -46,7 +50,7 @@
 	if d.auth.noRegion {
 		return refusal.NewNotRun(refusal.RegionNotAllowed, "the route and the workspace allow no region in common")
 	}
-	if d.auth.regions == "" && len(v.Evacuations().DataCentres()) == 0 {
+	if d.auth.regions == "" && v.Evacuations().IsEmpty() {
 		return nil
 	}
 	name := d.auth.database.Name
--- a/engine/vm/evacuation.go
+++ b/engine/vm/evacuation.go
@@ -6,7 +6,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"amaranthdock.dev/engine/endpoint"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/timer"
 )
@@ -31,13 +30,13 @@
 	}
 	progress := &evacuationProgress{
 		vm:          v,
-		remaining:   map[string]endpoint.Usage{},
+		ended:       map[string]endedUse{},
 		dataCentres: metrics.GetOrRegisterGauge("evacuation.dataCentres", v.config.Registry),
 		statements:  metrics.GetOrRegisterGauge("evacuation.statements", v.config.Registry),
 	}
 	for ctx.Err() == nil {
 		changed := v.view.Changed()
-		if progress.update(); len(progress.remaining) > 0 {
+		if progress.update(); len(progress.ended) > 0 {
 			// The context is checked by the loop.
 			_ = timer.Sleep(ctx, v.config.Timer, evacuationCheckInterval)
 			continue
@@ -49,11 +48,16 @@
 	}
 }
 
+// endedUse is what of this VM has ended in a data centre.
+type endedUse struct {
+	statements, connections bool
+}
+
 // evacuationProgress logs and counts what this VM still uses in evacuated data centres.
 type evacuationProgress struct {
 	vm *VM
-	// remaining holds what was in use in each evacuated data centre at the last update.
-	remaining   map[string]endpoint.Usage
+	// ended holds what has ended in each evacuated data centre.
+	ended       map[string]endedUse
 	dataCentres metrics.Gauge
 	statements  metrics.Gauge
 }
@@ -63,20 +67,35 @@
 	evacuated := p.vm.view.Evacuations()
 	p.vm.home.Evacuate()
 	statements := 0
-	remaining := map[string]endpoint.Usage{}
+	ended := map[string]endedUse{}
 	for _, name := range evacuated.DataCentres() {
 		usage := p.vm.home.Usage(name)
-		before, known := p.remaining[name]
-		if usage.Statements == 0 && (!known || before.Statements > 0) {
+		statements += usage.Statements
+		mayStart := p.vm.mayStartIn(name)
+		now := endedUse{
+			statements:  !mayStart && usage.Statements == 0,
+			connections: !mayStart && usage.Connections == 0,
+		}
+		if now.statements && !p.ended[name].statements {
 			p.vm.config.Log.Info("This VM's last statement in an evacuated data centre has ended.", "dataCentre", name)
 		}
-		if usage.Connections == 0 && (!known || before.Connections > 0) {
+		if now.connections && !p.ended[name].connections {
 			p.vm.config.Log.Info("This VM's last connection to an evacuated data centre has ended.", "dataCentre", name)
 		}
-		statements += usage.Statements
-		remaining[name] = usage
+		ended[name] = now
 	}
-	p.remaining = remaining
-	p.dataCentres.Update(int64(len(remaining)))
+	p.ended = ended
+	p.dataCentres.Update(int64(len(ended)))
 	p.statements.Update(int64(statements))
 }
+
+// mayStartIn reports whether this VM may still start statements in an evacuated data centre:
+// writes at a primary that has no successor yet.
+func (v *VM) mayStartIn(dataCentre string) bool {
+	for _, e := range v.view.Endpoints().ByID {
+		if e.DataCentre == dataCentre && v.view.MayKeepConnections(e) {
+			return true
+		}
+	}
+	return false
+}
