--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"amaranthdock.dev/decision/outlier"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/decision/staleness"
@@ -72,7 +73,11 @@
 	// statements after having been idle.
 	lastProgress time.Time
 	sample       staleness.Sample
-	slow         slowStart
+	// detector tells whether the endpoint fails a part of its statements; failingReportAt is when
+	// that was last reported.
+	detector        *outlier.Detector
+	failingReportAt time.Duration
+	slow            slowStart
 }
 
 func newEndpointClient(config *Config, target catalog.Endpoint) *endpointClient {
@@ -80,10 +85,11 @@
 		target.Slots = defaultSlots
 	}
 	e := &endpointClient{
-		config:  config,
-		target:  target,
-		waiters: map[uint64]chan error{},
-		inUse:   map[*pooledConnection]struct{}{},
+		config:   config,
+		target:   target,
+		waiters:  map[uint64]chan error{},
+		inUse:    map[*pooledConnection]struct{}{},
+		detector: outlier.New(),
 	}
 	e.queue = scheduling.New(scheduling.Config{
 		Slots:              target.Slots + slotMargin,
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/retries"
 	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
@@ -51,6 +52,10 @@
 	CheckFirstHome func(catalog.Endpoint)
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
+	// ReportFailing is called for endpoints that fail many of their statements; may be nil.
+	ReportFailing func(catalog.Endpoint)
+	// Places tells where requests may be sent; nil if there are no restrictions.
+	Places Places
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -59,6 +64,10 @@
 	connectionsOpened metrics.Counter
 	statements        metrics.Counter
 	openTransactions  metrics.Gauge
+	// ejections counts how often an endpoint was ejected, and busyRetries the statements that were
+	// sent again after a busy reply.
+	ejections   metrics.Counter
+	busyRetries metrics.Counter
 	// coldEndpoints is the number of endpoints whose requests are limited after their start.
 	coldEndpoints metrics.Counter
 	// coldRequests counts the requests sent to cold endpoints, coldWaits the statements that had
@@ -76,6 +85,8 @@
 	mu           sync.Mutex
 	clients      map[catalog.EndpointKey]*endpointClient
 	transactions map[peer.TransactionKey]*transaction
+	// retryBudgets limits the statements that are sent again, by workspace.
+	retryBudgets *retries.Budgets
 }
 
 // New returns a Home without connections.
@@ -84,6 +95,8 @@
 		connectionsOpened: metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
 		statements:        metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
 		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
+		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
+		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
 		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
 		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
 		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
@@ -93,6 +106,7 @@
 		config:       config,
 		clients:      map[catalog.EndpointKey]*endpointClient{},
 		transactions: map[peer.TransactionKey]*transaction{},
+		retryBudgets: retries.NewBudgets(),
 	}
 }
 
@@ -103,6 +117,9 @@
 	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
+	if client, ok := h.existingClient(request.Endpoint); ok {
+		result.Report.Ejected = client.isEjected()
+	}
 	h.reportBudget(request, result)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
 		return result
@@ -150,6 +167,9 @@
 		h.clients[target.Key] = client
 	}
 	h.mu.Unlock()
+	if err := client.refusePlace(request); err != nil {
+		return nil, err
+	}
 	share := firstHomeShare
 	if !h.config.IsFirstHome(target) {
 		share = otherHomeShare
@@ -180,6 +200,10 @@
 	if err != nil {
 		return errorResult(err)
 	}
+	if refused := client.admitRead(request); refused != nil {
+		return refusedResult(refused)
+	}
+	h.countRequest(request.Workspace)
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
 		for {
@@ -222,7 +246,7 @@
 	client.recordResponse()
 	if !request.Fenced {
 		client.put(c, true)
-		return resultFromReply(replies[0], request.Write), false
+		return resultFromReply(replies[0], request.Write), h.retriesBusy(ctx, request, replies[0].Err, deadline)
 	}
 	if refused := replies[0].Err; refused != nil {
 		// The read ran outside of a transaction, so its reply proves nothing.
@@ -230,7 +254,32 @@
 		return notRunResult(refused), false
 	}
 	client.put(c, true)
-	return resultFromReply(replies[1], true), false
+	return resultFromReply(replies[1], true), h.retriesBusy(ctx, request, replies[1].Err, deadline)
+}
+
+// countRequest adds a statement to the retry budget of its workspace.
+func (h *Home) countRequest(workspace string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retryBudgets.CountRequest(workspace)
+}
+
+// retriesBusy reports whether a statement is sent again because the endpoint was busy, which proves
+// that it has not run. A read that can run at another endpoint goes there instead. It waits for
+// busyRetryDelay before it returns true.
+func (h *Home) retriesBusy(ctx context.Context, request *peer.RunRequest, reply *ReplyError, deadline time.Time) bool {
+	if reply == nil || reply.Code != Busy || request.Alternatives || ctx.Err() != nil ||
+		deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+		return false
+	}
+	h.mu.Lock()
+	allowed := h.retryBudgets.TakeRetry(request.Workspace)
+	h.mu.Unlock()
+	if allowed {
+		h.config.Metrics.busyRetries.Inc(1)
+		h.waitBusyRetry()
+	}
+	return allowed
 }
 
 // minRetryTimeout is the least remaining time with which a request is retried.
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/placement"
 	"amaranthdock.dev/decision/staleness"
@@ -60,6 +61,9 @@
 	missingPositionAt time.Time
 	// unreachableUntil is the time until which reads avoid the endpoint.
 	unreachableUntil time.Time
+	// avoidUntil is the time until which reads that may run elsewhere avoid the endpoint, because
+	// it fails a part of its statements.
+	avoidUntil time.Time
 	// demoted is set when the endpoint rejects a statement because it is not the primary.
 	// It is cleared when the endpoint's report changes to primary, or when the endpoint
 	// proves that it is the primary.
@@ -206,7 +210,7 @@
 }
 
 // Candidates returns the endpoints that may run reads of a database: all of them except
-// for those that are excluded, are draining, or were unreachable a moment ago.
+// for those that are excluded, are draining or evacuated, or were unreachable a moment ago.
 func (v *View) Candidates(name string, excluded map[string]bool) []placement.Candidate {
 	primary, hasPrimary := v.Primary(name)
 	reported := v.endpoints.Load().ByID
@@ -216,7 +220,7 @@
 	d := v.database(name)
 	var candidates []placement.Candidate
 	for _, e := range reported {
-		if e.Database != name || e.Draining || excluded[e.Key.ID] {
+		if e.Database != name || e.Draining || excluded[e.Key.ID] || v.Access(e) != evacuation.Open {
 			continue
 		}
 		state := d.endpoint(e.Key)
@@ -229,7 +233,7 @@
 			Region:             v.Region(e.DataCentre),
 			Primary:            hasPrimary && e.Key == primary.Key,
 			Slots:              e.Slots,
-			Penalty:            state.budgetPenalty(now),
+			Penalty:            state.budgetPenalty(now) + state.ejectionPenalty(now),
 			InFlight:           state.inFlight,
 			ServiceTime:        state.meanStatementTime,
 			ReportedWait:       state.queueWait,
@@ -298,6 +302,8 @@
 	MissingPosition logpos.Position
 	// Unreachable is set if no home could reach the endpoint.
 	Unreachable bool
+	// Ejected is set if the home avoids the endpoint because it fails a part of its statements.
+	Ejected bool
 }
 
 // EndStatement records the outcome of a statement that was counted with BeginStatement.
@@ -322,6 +328,9 @@
 	if outcome.Unreachable {
 		state.unreachableUntil = now.Add(unreachableRetryDelay)
 	}
+	if outcome.Ejected {
+		state.avoidUntil = now.Add(ejectedRetryDelay)
+	}
 	if outcome.ProvedPrimary {
 		v.recordProvedPrimary(d, e, state, outcome.Position.Term)
 	}
