--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -72,6 +72,8 @@
 	Transaction bool
 	// Priority orders the items of one subject; 0 is the most urgent.
 	Priority int
+	// Write is true for a write, which counts towards the limit of writes.
+	Write bool
 	// Target is the time until which a caller is well served; zero if there is none.
 	Target time.Time
 }
@@ -86,6 +88,10 @@
 	running         map[uint64]runningItem
 	lastSequence    uint64
 	roundRobinIndex int
+	// readCost and writeCost are the parts of the slots that an item takes. They differ if the
+	// limits of reads and writes do.
+	readCost, writeCost float64
+	usedSlots           float64
 	// virtualTime is the largest value that minStartTag has returned at the start of
 	// an item.
 	virtualTime float64
@@ -102,6 +108,9 @@
 	// chargedTime and chargedWeight were used to charge the flow at the start.
 	chargedTime   time.Duration
 	chargedWeight float64
+	item          Item
+	// usedSlots is the part of the slots that the item takes.
+	usedSlots float64
 }
 
 // New returns an empty queue.
@@ -119,6 +128,8 @@
 		flowsBySubject: map[string]*flow{},
 		waitingItems:   map[uint64]Item{},
 		running:        map[uint64]runningItem{},
+		readCost:       1,
+		writeCost:      1,
 	}
 }
 
@@ -194,7 +205,7 @@
 	}
 	q.updateFairService(now)
 	f, steps := q.pickNext()
-	if f == nil {
+	if f == nil || !q.fits(f, steps) {
 		return Idle{}
 	}
 	q.virtualTime = max(q.virtualTime, q.minStartTag())
@@ -205,7 +216,10 @@
 		started:       now,
 		chargedTime:   time.Duration(q.expectedServiceTime(f) * float64(time.Second)),
 		chargedWeight: q.activeWeights().effective(f),
+		item:          item,
+		usedSlots:     q.cost(item),
 	}
+	q.usedSlots += r.usedSlots
 	f.startTag += r.chargedTime.Seconds() / r.chargedWeight
 	f.serviceReceived = max(f.serviceReceived, q.fairService) + r.chargedTime.Seconds()/r.chargedWeight
 	f.runningCount++
@@ -286,6 +300,11 @@
 func (q *Queue) releaseSlot(id uint64, r runningItem) {
 	delete(q.running, id)
 	r.flow.runningCount--
+	q.usedSlots -= r.usedSlots
+	if len(q.running) == 0 {
+		// Rounding errors must not add up.
+		q.usedSlots = 0
+	}
 }
 
 // checkAdmission returns a refusal and true if the item must not be accepted.
