Apply the learned limits of an endpoint at its home

Cause: a home runs as many statements at an endpoint as that reports slots, also while it rejects them or serves fewer of them in the same time.

Change: the home measures each statement from sending it to its reply, without waits for a slot or for a new connection, and applies the limits that decision/capacity learns to the queue. The response reports the limit of reads and the mean service time of reads like the one that was run. Statements that fail, or that lose their connection before the timeout, are not measured.

Without the call of updateLimits the test of rejections fails; the report is tested with the time of a new connection.

--- a/decision/capacity/capacity.go
+++ b/decision/capacity/capacity.go
@@ -15,8 +15,13 @@
 	windowEpochs = 8
 	// maxKinds bounds the memory of a track; statements of further kinds are not measured.
 	maxKinds = 24
-	// serviceTimeWeight is the weight of a sample in the moving average of a kind's service time.
-	serviceTimeWeight = 0.05
+	// minTimeWeight is the weight of a sample in the moving average of a kind's service time. It
+	// is the time since the last sample as a part of timeWeightPeriod if that is more, up to
+	// maxTimeWeight, so that the average follows an endpoint with few statements, too. A single
+	// sample of the largest accepted length still changes it by less than a factor of 2.
+	minTimeWeight    = 0.05
+	maxTimeWeight    = 0.2
+	timeWeightPeriod = 5 * time.Second
 	// maxServiceTimeFactor caps a sample at a multiple of the moving average, so that one very
 	// long statement does not change it much.
 	maxServiceTimeFactor = 4
@@ -77,7 +82,14 @@
 type Limiter struct {
 	reads        track
 	writes       track
-	serviceTimes map[Kind]time.Duration
+	serviceTimes map[Kind]meanTime
+}
+
+// meanTime is a moving average of service times.
+type meanTime struct {
+	mean time.Duration
+	// at is the time of the last sample.
+	at time.Time
 }
 
 // New returns a Limiter whose limits are at the upper bound.
@@ -87,7 +99,7 @@
 	return &Limiter{
 		reads:        newTrack(config),
 		writes:       newTrack(config),
-		serviceTimes: map[Kind]time.Duration{},
+		serviceTimes: map[Kind]meanTime{},
 	}
 }
 
@@ -97,7 +109,7 @@
 		return
 	}
 	if sample.Outcome == Served {
-		l.addServiceTime(sample)
+		l.addServiceTime(now, sample)
 	}
 	if sample.Kind.Write {
 		l.writes.add(now, sample)
@@ -116,17 +128,21 @@
 
 // ServiceTime returns the moving average of the service time of a kind; 0 if it is not known.
 func (l *Limiter) ServiceTime(kind Kind) time.Duration {
-	return l.serviceTimes[kind]
+	return l.serviceTimes[kind].mean
 }
 
-func (l *Limiter) addServiceTime(sample Sample) {
-	mean, ok := l.serviceTimes[sample.Kind]
-	if !ok {
-		if len(l.serviceTimes) < 2*maxKinds {
-			l.serviceTimes[sample.Kind] = sample.ServiceTime
-		}
+func (l *Limiter) addServiceTime(now time.Time, sample Sample) {
+	last, ok := l.serviceTimes[sample.Kind]
+	switch {
+	case ok:
+		weight := min(max(now.Sub(last.at).Seconds()/timeWeightPeriod.Seconds(), minTimeWeight), maxTimeWeight)
+		capped := min(sample.ServiceTime, maxServiceTimeFactor*last.mean)
+		last.mean += time.Duration(weight * float64(capped-last.mean))
+	case len(l.serviceTimes) < 2*maxKinds:
+		last.mean = sample.ServiceTime
+	default:
 		return
 	}
-	capped := min(sample.ServiceTime, maxServiceTimeFactor*mean)
-	l.serviceTimes[sample.Kind] = mean + time.Duration(serviceTimeWeight*float64(capped-mean))
+	last.at = now
+	l.serviceTimes[sample.Kind] = last
 }
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -72,6 +72,7 @@
 	// statements after having been idle.
 	lastProgress time.Time
 	sample       staleness.Sample
+	limits       learnedLimits
 }
 
 func newEndpointClient(config *Config, target catalog.Endpoint) *endpointClient {
@@ -86,6 +87,7 @@
 			MaxWait:            maxQueueWait,
 			InitialServiceTime: initialServiceTime,
 		}),
+		limits:  newLearnedLimits(target.Slots),
 		waiters: map[uint64]chan error{},
 		inUse:   map[*pooledConnection]struct{}{},
 	}
@@ -146,6 +148,7 @@
 		Deadline:    deadline,
 		Transaction: request.Step == peer.StepNext || request.Step == peer.StepCommit,
 		Priority:    request.Priority,
+		Write:       countsAsWrite(request),
 	})
 	if refused, ok := decision.(scheduling.Refused); ok {
 		return 0, nil, &refusal.Error{
@@ -191,6 +194,7 @@
 // processQueue starts the items that have a slot and drops those that expired. The
 // lock must be held.
 func (e *endpointClient) processQueue() {
+	e.updateLimits()
 	for {
 		switch decision := e.queue.Next(e.config.Timer.Now()).(type) {
 		case scheduling.Run:
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -40,6 +40,8 @@
 	// holdReads, if set, blocks the reply to each read until a value is sent or the
 	// channel is closed.
 	holdReads chan struct{}
+	// dialTime is called while a connection is opened; may be nil.
+	dialTime func()
 	// unreachable makes all attempts to connect fail.
 	unreachable bool
 	// unresponsiveReports counts the calls of Config.ReportUnresponsive.
@@ -67,6 +69,9 @@
 		}
 	}
 	f.open++
+	if f.dialTime != nil {
+		f.dialTime()
+	}
 	f.log = append(f.log, "start "+workspace)
 	return &fakeConnection{
 		fake:  f,
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -51,6 +51,9 @@
 	connectionsOpened metrics.Counter
 	statements        metrics.Counter
 	openTransactions  metrics.Gauge
+	limitsLowered     metrics.Counter
+	limitsRaised      metrics.Counter
+	busyReplies       metrics.Counter
 }
 
 // Home holds the connections of this VM to the endpoints of which it is the home, and
@@ -71,6 +74,9 @@
 		connectionsOpened: metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
 		statements:        metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
 		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
+		limitsLowered:     metrics.GetOrRegisterCounter("endpoint.capacity.lowered", config.Registry),
+		limitsRaised:      metrics.GetOrRegisterCounter("endpoint.capacity.raised", config.Registry),
+		busyReplies:       metrics.GetOrRegisterCounter("endpoint.capacity.busyReplies", config.Registry),
 	}
 	return &Home{
 		config:       config,
@@ -86,6 +92,7 @@
 	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
+	h.reportCapacity(request, result)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
 		return result
 	}
@@ -192,7 +199,9 @@
 		// Leave time for a second attempt if the reply to the read is lost.
 		timeout /= 2
 	}
+	sample := client.beginSample(request, timeout)
 	replies, err := c.Run(timeout, commands)
+	sample.end(replies, err)
 	if err != nil {
 		client.put(c, false)
 		client.recordNoResponse()
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -155,7 +155,10 @@
 
 // runStep runs one statement on the transaction's connection.
 func (h *Home) runStep(t *transaction, request *peer.RunRequest, command Command, deadline time.Time) *peer.RunResponse {
-	replies, err := t.connection.Run(deadline.Sub(h.config.Timer.Now()), []Command{command})
+	timeout := deadline.Sub(h.config.Timer.Now())
+	sample := t.client.beginSample(request, timeout)
+	replies, err := t.connection.Run(timeout, []Command{command})
+	sample.end(replies, err)
 	if err != nil {
 		t.ended = true
 		t.client.recordNoResponse()
@@ -177,7 +180,10 @@
 // transaction is then still open.
 func (h *Home) commit(t *transaction, request *peer.RunRequest, deadline time.Time) *peer.RunResponse {
 	for {
-		replies, err := t.connection.Run(deadline.Sub(h.config.Timer.Now()), []Command{Commit{ID: request.ID}})
+		timeout := deadline.Sub(h.config.Timer.Now())
+		sample := t.client.beginSample(request, timeout)
+		replies, err := t.connection.Run(timeout, []Command{Commit{ID: request.ID}})
+		sample.end(replies, err)
 		if err != nil {
 			t.ended = true
 			t.client.recordNoResponse()
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -134,6 +134,9 @@
 	// Capacity is the number of statements that the endpoint runs well at the same time; 0 if
 	// it is not known.
 	Capacity int
+	// ServiceTime is the mean time in which the endpoint runs a read of the request's priority,
+	// without waits at the home; 0 if it is not known.
+	ServiceTime time.Duration
 	// Ejected means that reads which may run elsewhere should avoid the endpoint, because it
 	// fails too many statements.
 	Ejected bool
