Use the reported capacity of endpoints for the placement of reads

Cause: an entry VM knows an endpoint by the mean time of its own statements, which includes waits and all kinds of statements, and which counts only while it has statements in progress there. With none in progress a read went to a slow endpoint while a fast one was idle.

Change: View.RecordCapacity keeps what the homes report. Candidates get the learned limit as their capacity for 5 s, and a penalty if the reads of the same priority take at least twice as long as at the fastest endpoint: the difference, halved each 0.5 s without a new report, so that the endpoint is tried again. Equal endpoints get no penalty. Ruled out: replacing the mean of the VM itself, which estimates the wait behind its own statements.

Result: decision/placement, engine/view and engine/caller pass. Without the call in Candidates the tests of a slow endpoint and of the limit fail, without the call in dispatch that of a reported time.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -174,6 +174,7 @@
 	v.BeginStatement(target)
 	beganBoot, sentAt := v.SinceBoot(), d.session.manager.config.Timer.Now()
 	result := d.tryHomes(ctx, target)
+	v.RecordCapacity(target, d.request.Priority, result.Report)
 	outcome := view.StatementOutcome{
 		QueueWait:     result.ExpectedWait,
 		Position:      result.Position,
--- a/engine/caller/dispatch_test.go
+++ b/engine/caller/dispatch_test.go
@@ -55,6 +55,29 @@
 		Expect(run.Fenced).To(BeFalse())
 	})
 
+	It("avoid a replica whose home reports a much longer service time", func() {
+		// Guards against a report that the VM of the caller does not use.
+		f.acceptSample(90)
+		f.fleet.respond = func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+			result := successResult(r)
+			result.Report.ServiceTime = 20 * time.Millisecond
+			if r.Endpoint == "r1" {
+				result.Report.ServiceTime = 200 * time.Millisecond
+			}
+			return result, nil
+		}
+		f.view.RecordCapacity(f.view.Endpoints().ByID["r2"], 0, peer.EndpointReport{ServiceTime: 20 * time.Millisecond})
+		s := f.open("bounded")
+		atSlow := 0
+		for range 20 {
+			expectServed(do(s, statement.Read{}, "READ a"), statement.Idle)
+			if f.fleet.lastRun().Endpoint == "r1" {
+				atSlow++
+			}
+		}
+		Expect(atSlow).To(BeNumerically("<", 10))
+	})
+
 	It("without a recent position run at the primary", func() {
 		// Guards against a stale read at a replica when the position that it must have
 		// reached is not known.
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -70,6 +70,7 @@
 	// drainingSince is the time, as a reading of SinceBoot, at which this VM learned that the
 	// endpoint is draining; 0 if it is not.
 	drainingSince time.Duration
+	reported      reportedCapacity
 }
 
 // database returns the state of a database. The caller holds the lock.
@@ -204,6 +205,7 @@
 	defer v.mu.Unlock()
 	d := v.database(name)
 	var candidates []placement.Candidate
+	var capacities []reportedCapacity
 	for _, e := range reported {
 		if e.Database != name || e.Draining || excluded[e.Key.ID] {
 			continue
@@ -226,7 +228,9 @@
 			MissingPosition:    state.missingPosition,
 			MissingPositionAge: now.Sub(state.missingPositionAt),
 		})
+		capacities = append(capacities, state.reported)
 	}
+	addReported(now, candidates, capacities)
 	return candidates
 }
 
