--- a/decision/capacity/capacity.go
+++ b/decision/capacity/capacity.go
@@ -22,6 +22,9 @@
 	minTimeWeight    = 0.05
 	maxTimeWeight    = 0.2
 	timeWeightPeriod = 5 * time.Second
+	// minTimeSamples is the number of samples from which a moving average is known. The first ones
+	// count equally.
+	minTimeSamples = 20
 	// maxServiceTimeFactor caps a sample at a multiple of the moving average, so that one very
 	// long statement does not change it much.
 	maxServiceTimeFactor = 4
@@ -87,7 +90,8 @@
 
 // meanTime is a moving average of service times.
 type meanTime struct {
-	mean time.Duration
+	mean  time.Duration
+	count int
 	// at is the time of the last sample.
 	at time.Time
 }
@@ -128,7 +132,10 @@
 
 // ServiceTime returns the moving average of the service time of a kind; 0 if it is not known.
 func (l *Limiter) ServiceTime(kind Kind) time.Duration {
-	return l.serviceTimes[kind].mean
+	if m := l.serviceTimes[kind]; m.count >= minTimeSamples {
+		return m.mean
+	}
+	return 0
 }
 
 func (l *Limiter) addServiceTime(now time.Time, sample Sample) {
@@ -136,6 +143,7 @@
 	switch {
 	case ok:
 		weight := min(max(now.Sub(last.at).Seconds()/timeWeightPeriod.Seconds(), minTimeWeight), maxTimeWeight)
+		weight = max(weight, 1/float64(last.count+1))
 		capped := min(sample.ServiceTime, maxServiceTimeFactor*last.mean)
 		last.mean += time.Duration(weight * float64(capped-last.mean))
 	case len(l.serviceTimes) < 2*maxKinds:
@@ -143,6 +151,7 @@
 	default:
 		return
 	}
+	last.count++
 	last.at = now
 	l.serviceTimes[sample.Kind] = last
 }
--- a/engine/endpoint/capacity_test.go
+++ b/engine/endpoint/capacity_test.go
@@ -72,8 +72,11 @@
 			return endpoint.Reply{}, nil
 		}
 		fake.dialTime = func() { clock.Advance(50 * time.Millisecond) }
-		ran := home.Run(ctx, request(peer.StepSingle, "READ a"))
-		expectServed(ran)
+		var ran *peer.RunResponse
+		for range 20 {
+			ran = home.Run(ctx, request(peer.StepSingle, "READ a"))
+			expectServed(ran)
+		}
 		Expect(ran.Report.ServiceTime).To(Equal(20 * time.Millisecond))
 		Expect(ran.Report.Capacity).To(Equal(2))
 	})
@@ -81,7 +84,7 @@
 	It("is not learned from a refusal for another reason", func() {
 		// Guards against a replica whose refusals, which are fast, count as service times.
 		fake.respond = func(endpoint.Command) (endpoint.Reply, error) { return scriptedRefusal(endpoint.ReplicaBehind) }
-		for range 10 {
+		for range 30 {
 			ran := home.Run(ctx, request(peer.StepSingle, "READ a"))
 			expectRefused(ran, refusal.NotRun, refusal.ReplicaBehind)
 			Expect(ran.Report.ServiceTime).To(BeZero())
