Keep the limit of an endpoint whose rejections do not depend on it

Cause: an endpoint that rejects a part of its statements at any load (a fault, or other users of it) lost its capacity in addition: each rejection lowered the limit, down to 1, and each trial failed.

Change: rejections do not lower the limit while statements with few in progress are known to be rejected as often, and are ignored for 16 s once a limit of 1 has not prevented them.

Without the comparison the test with 10% of rejections fails, without ignoring those with 20%.

--- a/decision/capacity/capacity_test.go
+++ b/decision/capacity/capacity_test.go
@@ -167,6 +167,29 @@
 		Expect(readLimit(s)).To(Equal(upperLimit))
 	})
 
+	DescribeTable("keeps the limit if rejections do not depend on it",
+		// Guards against an endpoint that rejects a part of its statements at any load and
+		// loses its capacity in addition.
+		func(rate, share float64) {
+			var reduced time.Duration
+			for seed := range uint64(10) {
+				s := newSimulation(seed, load{kind: read, rate: rate, mean: 15 * time.Millisecond})
+				s.outcome = func(time.Duration, int) capacity.Outcome {
+					if s.random.Float64() < share {
+						return capacity.Busy
+					}
+					return capacity.Served
+				}
+				s.run(30 * time.Second)
+				reduced += s.reduced
+			}
+			Expect(reduced).To(BeNumerically("<", 10*30*time.Second/8))
+		},
+		Entry("usual load", 150.0, 0.1),
+		Entry("usual load, many rejections", 150.0, 0.2),
+		Entry("overload", 600.0, 0.2),
+	)
+
 	It("learns nothing from an idle endpoint", func() {
 		// Guards against a limit that changes without information, and against one that stays
 		// low because an endpoint with a low limit gets no statements.
--- a/decision/capacity/track.go
+++ b/decision/capacity/track.go
@@ -32,13 +32,6 @@
 	// is too high.
 	minHold = 2 * time.Second
 	maxHold = 16 * time.Second
-	// minBusy and maxBusyShare bound the rejected statements. Fewer are caused by others that use
-	// the endpoint, such as new connections.
-	minBusy      = 3
-	maxBusyShare = 0.05
-	// busyFactor is the factor of the limit after statements within the reported slots were
-	// rejected.
-	busyFactor = 0.75
 )
 
 // track learns the limit of the reads or of the writes.
@@ -55,6 +48,8 @@
 	// trialBase is the limit before the last raise while that is being observed; 0 otherwise.
 	trialBase int
 	probe     probe
+	// busyIgnoredUntil is the time until which rejections do not lower the limit.
+	busyIgnoredUntil time.Time
 }
 
 func newTrack(config Config) track {
@@ -245,28 +240,6 @@
 	return c.weight >= minWeight
 }
 
-// checkBusy lowers the limit if the endpoint rejects too many statements.
-func (t *track) checkBusy(now time.Time) {
-	var busy, total, busyAbove, totalAbove float64
-	for _, e := range t.epochs {
-		for level := range e.total {
-			busy += e.busy[level]
-			total += e.total[level]
-			if level > t.config.Slots {
-				busyAbove += e.busy[level]
-				totalAbove += e.total[level]
-			}
-		}
-	}
-	switch {
-	case t.limit > t.config.Slots && busyAbove >= minBusy && busyAbove >= maxBusyShare*totalAbove:
-		t.lower(now, t.config.Slots)
-	case busy >= minBusy && busy >= 2*maxBusyShare*total:
-		limit := min(t.limit, t.config.Slots)
-		t.lower(now, min(int(busyFactor*float64(limit)), limit-1))
-	}
-}
-
 func (t *track) lower(now time.Time, limit int) {
 	if t.trialBase > 0 {
 		t.hold = min(2*t.hold, maxHold)
