Merge main with evacuations, outlier detection, cold endpoints and weighted homes

Conflicts: fields and metrics beside each other; Home.Run fills the report in one place; the queue checks that an item fits into the slots before it reserves the budget of a cold endpoint; the test of the home uses the fake's onDial in place of a second hook.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -23,6 +23,10 @@
 	PromotionCooldown = 1800 * time.Millisecond
 	// SuspicionTTL is how long a home's report that it cannot reach the primary is valid.
 	SuspicionTTL = 1500 * time.Millisecond
+	// FailingPrimaryCooldown is the least time between two replacements of primaries of one
+	// database that fail a part of their statements. It keeps promotions from following each
+	// other if all endpoints fail.
+	FailingPrimaryCooldown = 15 * time.Second
 )
 
 // DatabaseState is the state of one database as the leader, the VM that requests
@@ -32,6 +36,8 @@
 	PrimaryReported bool
 	// PrimaryDraining is true if this primary is draining, which means that it is leaving.
 	PrimaryDraining bool
+	// PrimaryFailing is true if this primary fails many of its statements.
+	PrimaryFailing bool
 	// PrimaryMissingFor is how long no primary has been reported.
 	PrimaryMissingFor time.Duration
 	// StoreHealthyFor is how long the store has responded to the leader without a
@@ -46,13 +52,17 @@
 	PromotionRequested    bool
 }
 
-// Decision is what the leader does about a primary: KeepPrimary, Switchover,
+// Decision is what the leader does about a primary: KeepPrimary, ReplaceFailing, Switchover,
 // VerifyPrimary or Failover.
 type Decision interface{ decision() }
 
 // KeepPrimary means that nothing is done at present.
 type KeepPrimary struct{}
 
+// ReplaceFailing means that a primary which fails many of its statements is replaced, once another
+// VM has confirmed that the fault lies in this endpoint.
+type ReplaceFailing struct{}
+
 // Switchover means that a draining primary is replaced in a planned way, without the loss
 // of a commit.
 type Switchover struct{}
@@ -63,10 +73,11 @@
 // Failover means that another endpoint is promoted at once.
 type Failover struct{}
 
-func (KeepPrimary) decision()   {}
-func (Switchover) decision()    {}
-func (VerifyPrimary) decision() {}
-func (Failover) decision()      {}
+func (KeepPrimary) decision()    {}
+func (ReplaceFailing) decision() {}
+func (Switchover) decision()     {}
+func (VerifyPrimary) decision()  {}
+func (Failover) decision()       {}
 
 // Decide returns what the leader does about a database's primary.
 func Decide(s DatabaseState) Decision {
@@ -86,6 +97,8 @@
 		return KeepPrimary{}
 	case s.PrimaryReported && s.PrimarySuspectedFor > 0:
 		return VerifyPrimary{}
+	case s.PrimaryReported && s.PrimaryFailing:
+		return ReplaceFailing{}
 	case s.PrimaryReported:
 		return KeepPrimary{}
 	case s.PrimaryMissingFor >= MissingPrimaryTimeout:
@@ -140,19 +153,23 @@
 	ReceivedPosition logpos.Position
 	// Draining is true if the endpoint is leaving.
 	Draining bool
+	// Evacuated is true if the endpoint's data centre is evacuated.
+	Evacuated bool
+	// AllowingRoutes is the number of the database's routes that allow the endpoint's region.
+	AllowingRoutes int
 	// SameRegion is true if the endpoint is in the region of the database's old primary.
 	SameRegion bool
 }
 
-// Choose returns the candidate with the highest received position. On a tie it prefers
-// one in the region of the old primary, then the one with the lowest ID.
+// Choose returns the candidate with the highest received position. On a tie it prefers the one
+// that most routes allow, then one in the region of the old primary, then the one with the
+// lowest ID.
 func Choose(candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	found := false
 	for _, c := range candidates {
 		if found {
-			order := c.ReceivedPosition.Compare(best.ReceivedPosition)
-			if order < 0 || (order == 0 && (best.SameRegion && !c.SameRegion || best.SameRegion == c.SameRegion && best.ID < c.ID)) {
+			if order := c.ReceivedPosition.Compare(best.ReceivedPosition); order < 0 || (order == 0 && best.isPreferredTo(c)) {
 				continue
 			}
 		}
@@ -160,3 +177,16 @@
 	}
 	return best, found
 }
+
+// isPreferredTo reports whether a candidate is preferred to another one that has received the
+// same position.
+func (c Candidate) isPreferredTo(other Candidate) bool {
+	switch {
+	case c.AllowingRoutes != other.AllowingRoutes:
+		return c.AllowingRoutes > other.AllowingRoutes
+	case c.SameRegion != other.SameRegion:
+		return c.SameRegion
+	default:
+		return c.ID < other.ID
+	}
+}
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -44,10 +44,13 @@
 	excluded map[string]bool
 	// primaryOnly is set once no replica is left that could serve the read.
 	primaryOnly bool
+	// failedOnce is set once the endpoint's error for a read was answered with a retry.
+	failedOnce  bool
 	lastRefusal *refusal.Error
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
+	s.manager.countRequest(auth.workspace)
 	return &dispatch{
 		session:  s,
 		auth:     auth,
@@ -62,6 +65,9 @@
 func (d *dispatch) run(ctx context.Context) *peer.RunResponse {
 	for {
 		changed := d.session.manager.config.View.Changed()
+		if refused := d.refusePlace(); refused != nil {
+			return &peer.RunResponse{Refused: refused}
+		}
 		target, ok := d.chooseEndpoint()
 		if !ok {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
@@ -77,7 +83,9 @@
 		if d.remaining() < minSendTimeout || ctx.Err() != nil {
 			return result
 		}
-		if result.Refused.Reason == refusal.NotPrimary || (result.Refused.Reason == refusal.Unreachable && d.needsPrimary()) {
+		reason := result.Refused.Reason
+		homeUnknown := reason == refusal.Unreachable || reason == refusal.NotReady
+		if reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (homeUnknown && d.needsPrimary()) {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
@@ -131,6 +139,7 @@
 	d.request.After = logpos.Position{}
 	d.request.Fenced = false
 	d.request.ReadOnly = false
+	d.request.Alternatives = false
 	if !d.needsPrimary() {
 		if target, ok := d.chooseReplica(); ok {
 			d.request.ReadOnly = d.request.Step == peer.StepFirst
@@ -139,7 +148,7 @@
 	}
 	target, ok := d.session.manager.config.View.Primary(d.auth.database.Name)
 	d.request.Fenced = d.request.Step == peer.StepSingle && !d.request.Write
-	return target, ok && d.session.manager.config.View.MayStartWork(target)
+	return target, ok && d.mayUsePrimary(target)
 }
 
 // chooseReplica picks an endpoint, which may be the primary, whose log is expected to
@@ -159,7 +168,9 @@
 		DataCentre: v.Self().DataCentre,
 		Region:     v.Self().Region,
 	}
-	id, ok := placement.Choose(from, required, v.Candidates(name, d.excluded))
+	candidates := d.candidates()
+	id, ok := placement.Choose(from, required, candidates)
+	d.request.Alternatives = len(candidates) > 1
 	if !ok {
 		return catalog.Endpoint{}, false
 	}
@@ -177,8 +188,10 @@
 	v.RecordCapacity(target, d.request.Priority, result.Report)
 	outcome := view.StatementOutcome{
 		QueueWait:     result.ExpectedWait,
+		BudgetWait:    result.Report.BudgetWait,
 		Position:      result.Position,
 		ProvedPrimary: result.ProvedPrimary,
+		Ejected:       result.Report.Ejected,
 	}
 	if result.Refused == nil {
 		outcome.Duration = d.session.manager.config.Timer.Now().Sub(sentAt)
@@ -197,11 +210,20 @@
 	case refusal.ReplicaBehind:
 		outcome.MissingPosition = d.request.After
 		final = false
+	case refusal.EndpointEjected:
+		final = false
+	case refusal.StatementFailed:
+		final = !d.mayRetryFailedRead(ctx, result.Refused)
 	case refusal.Unreachable:
 		outcome.Unreachable = true
 		final = result.Refused.Outcome != refusal.NotRun
+	case refusal.DataCentreEvacuated:
+		// The home learned of the evacuation first.
+		final = !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		final = d.needsPrimary() || len(d.excluded) > 0
+		final = d.needsPrimary() || (len(d.excluded) > 0 && !isBudgetRefusal(result))
+	case refusal.NotReady:
+		final = !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
 		final = d.request.Write || d.request.Step == peer.StepFirst
 	}
@@ -217,13 +239,19 @@
 	return result, final
 }
 
+// isBudgetRefusal reports whether a statement was refused because the endpoint is cold: its home
+// has no budget left, or the VMs that were asked do not take themselves for its home.
+func isBudgetRefusal(result *peer.RunResponse) bool {
+	return result.Report.BudgetWait > 0 && result.Refused.Outcome == refusal.NotRun
+}
+
 // exclude leaves an endpoint out of the further attempts of this statement.
 func (d *dispatch) exclude(target catalog.Endpoint) {
 	if d.excluded == nil {
 		d.excluded = map[string]bool{}
 	}
 	d.excluded[target.Key.ID] = true
-	if len(d.session.manager.config.View.Candidates(d.auth.database.Name, d.excluded)) == 0 {
+	if len(d.candidates()) == 0 {
 		d.primaryOnly = true
 	}
 }
@@ -232,7 +260,7 @@
 // until one accepts it.
 func (d *dispatch) tryHomes(ctx context.Context, target catalog.Endpoint) *peer.RunResponse {
 	var lastResult *peer.RunResponse
-	for _, home := range d.session.manager.config.View.Homes(target, maxHomesPerEndpoint) {
+	for _, home := range d.homes(target) {
 		d.request.Endpoint = target.Key.ID
 		d.request.Timeout = d.remaining()
 		if d.request.Timeout < minSendTimeout || ctx.Err() != nil {
--- a/engine/endpoint/capacity.go
+++ b/engine/endpoint/capacity.go
@@ -154,20 +154,16 @@
 	}
 }
 
-// reportCapacity adds the learned limit of reads to a response, and the service time of a read like
-// the one of the request. Reads with a proof of the primary's role take longer and are not compared.
-func (h *Home) reportCapacity(request *peer.RunRequest, response *peer.RunResponse) {
-	client, ok := h.existingClient(request.Endpoint)
-	if !ok {
-		return
-	}
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	response.Report.Capacity = min(client.limits.current.Reads, client.target.Slots)
-	if response.Report.Capacity < client.target.Slots {
-		response.Report.SlotWait = client.limits.slotWait
+// reportCapacity adds the learned limit of reads to a report, and the service time of a read like the
+// one of the request. Reads with a proof of the primary's role take longer and are not compared.
+func (e *endpointClient) reportCapacity(request *peer.RunRequest, report *peer.EndpointReport) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report.Capacity = min(e.limits.current.Reads, e.target.Slots)
+	if report.Capacity < e.target.Slots {
+		report.SlotWait = e.limits.slotWait
 	}
 	if request.Step == peer.StepSingle && !request.Write && !request.Fenced {
-		response.Report.ServiceTime = client.limits.limiter.ServiceTime(kindOf(request))
+		report.ServiceTime = e.limits.limiter.ServiceTime(kindOf(request))
 	}
 }
--- a/engine/endpoint/capacity_test.go
+++ b/engine/endpoint/capacity_test.go
@@ -77,7 +77,7 @@
 			}
 			return endpoint.Reply{}, nil
 		}
-		fake.dialTime = func() { clock.Advance(50 * time.Millisecond) }
+		fake.onDial = func() { clock.Advance(50 * time.Millisecond) }
 		var ran *peer.RunResponse
 		for range 20 {
 			ran = home.Run(ctx, request(peer.StepSingle, "READ a"))
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -40,8 +40,8 @@
 	// holdReads, if set, blocks the reply to each read until a value is sent or the
 	// channel is closed.
 	holdReads chan struct{}
-	// dialTime is called while a connection is opened; may be nil.
-	dialTime func()
+	// onDial is called when a connection was opened; may be nil.
+	onDial func()
 	// unreachable makes all attempts to connect fail.
 	unreachable bool
 	// unresponsiveReports counts the calls of Config.ReportUnresponsive.
@@ -69,10 +69,10 @@
 		}
 	}
 	f.open++
-	if f.dialTime != nil {
-		f.dialTime()
-	}
 	f.log = append(f.log, "start "+workspace)
+	if f.onDial != nil {
+		f.onDial()
+	}
 	return &fakeConnection{
 		fake:  f,
 		ended: make(chan struct{}),
@@ -216,15 +216,22 @@
 
 // newHomeWithClock returns a home of the fake endpoint that uses the given clock.
 func newHomeWithClock(fake *fakeEndpoint, clock timer.Service) *endpoint.Home {
-	return endpoint.New(endpoint.Config{
+	return newHomeWith(fake, func(c *endpoint.Config) { c.Timer = clock })
+}
+
+// newHomeWith returns a home of the fake endpoint with a changed configuration.
+func newHomeWith(fake *fakeEndpoint, change func(*endpoint.Config)) *endpoint.Home {
+	config := endpoint.Config{
 		Dialer:             fake,
 		ReportUnresponsive: fake.recordUnresponsive,
-		Timer:              clock,
+		Timer:              timer.NewSystem(),
 		Log:                logr.Discard(),
 		Registry:           metrics.NewRegistry(),
 		Lookup:             func(id string) (catalog.Endpoint, bool) { return target, id == target.Key.ID },
 		IsFirstHome:        func(catalog.Endpoint) bool { return true },
-	})
+	}
+	change(&config)
+	return endpoint.New(config)
 }
 
 var target = catalog.Endpoint{
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -12,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/decision/retries"
+	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/decision/staleness"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
@@ -41,8 +43,19 @@
 	Lookup func(id string) (catalog.Endpoint, bool)
 	// IsFirstHome reports whether this VM is ranked first among the endpoint's homes.
 	IsFirstHome func(catalog.Endpoint) bool
+	// Coldness returns what is known about a cold endpoint; may be nil.
+	Coldness func(catalog.Endpoint) slowstart.Coldness
+	// ColdTolerance states what cold endpoints tolerate.
+	ColdTolerance slowstart.Config
+	// CheckFirstHome is called to check whether this VM reaches the first home of an endpoint;
+	// may be nil. It returns immediately.
+	CheckFirstHome func(catalog.Endpoint)
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
+	// ReportFailing is called for endpoints that fail many of their statements; may be nil.
+	ReportFailing func(catalog.Endpoint)
+	// Places tells where requests may be sent; nil if there are no restrictions.
+	Places Places
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -54,6 +67,15 @@
 	limitsLowered     metrics.Counter
 	limitsRaised      metrics.Counter
 	busyReplies       metrics.Counter
+	// ejections counts how often an endpoint was ejected, and busyRetries the statements that were
+	// sent again after a busy reply.
+	ejections   metrics.Counter
+	busyRetries metrics.Counter
+	// coldEndpoints is the number of endpoints whose requests are limited after their start.
+	coldEndpoints metrics.Counter
+	// coldRequests counts the requests sent to cold endpoints, coldWaits the statements that had
+	// to wait for a budget, and coldRefused those that were refused.
+	coldRequests, coldWaits, coldRefused metrics.Counter
 }
 
 // Home holds the connections of this VM to the endpoints of which it is the home, and
@@ -66,6 +88,8 @@
 	mu           sync.Mutex
 	clients      map[catalog.EndpointKey]*endpointClient
 	transactions map[peer.TransactionKey]*transaction
+	// retryBudgets limits the statements that are sent again, by workspace.
+	retryBudgets *retries.Budgets
 }
 
 // New returns a Home without connections.
@@ -77,11 +101,18 @@
 		limitsLowered:     metrics.GetOrRegisterCounter("endpoint.capacity.lowered", config.Registry),
 		limitsRaised:      metrics.GetOrRegisterCounter("endpoint.capacity.raised", config.Registry),
 		busyReplies:       metrics.GetOrRegisterCounter("endpoint.capacity.busyReplies", config.Registry),
+		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
+		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
+		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
+		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
+		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
+		coldRefused:       metrics.GetOrRegisterCounter("endpoint.coldRefused", config.Registry),
 	}
 	return &Home{
 		config:       config,
 		clients:      map[catalog.EndpointKey]*endpointClient{},
 		transactions: map[peer.TransactionKey]*transaction{},
+		retryBudgets: retries.NewBudgets(),
 	}
 }
 
@@ -92,7 +123,11 @@
 	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
-	h.reportCapacity(request, result)
+	if client, ok := h.existingClient(request.Endpoint); ok {
+		result.Report.Ejected = client.isEjected()
+		client.reportCapacity(request, &result.Report)
+	}
+	h.reportBudget(request, result)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
 		return result
 	}
@@ -139,11 +174,17 @@
 		h.clients[target.Key] = client
 	}
 	h.mu.Unlock()
+	if err := client.refusePlace(request); err != nil {
+		return nil, err
+	}
 	share := firstHomeShare
 	if !h.config.IsFirstHome(target) {
 		share = otherHomeShare
 	}
 	client.setLimit(int(share * float64(request.MaxConnections)))
+	if err := client.refuseIfNotColdHome(); err != nil {
+		return nil, err
+	}
 	return client, nil
 }
 
@@ -166,12 +207,16 @@
 	if err != nil {
 		return errorResult(err)
 	}
+	if refused := client.admitRead(request); refused != nil {
+		return refusedResult(refused)
+	}
+	h.countRequest(request.Workspace)
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
 		for {
 			var retry bool
 			result, retry = h.tryRunSingle(ctx, client, request, deadline)
-			if !retry {
+			if !retry || !client.reserveAgain(request, requestCount(request)) {
 				return measuresServiceTime(result)
 			}
 		}
@@ -210,7 +255,7 @@
 	client.recordResponse()
 	if !request.Fenced {
 		client.put(c, true)
-		return resultFromReply(replies[0], request.Write), false
+		return resultFromReply(replies[0], request.Write), h.retriesBusy(ctx, request, replies[0].Err, deadline)
 	}
 	if refused := replies[0].Err; refused != nil {
 		// The read ran outside of a transaction, so its reply proves nothing.
@@ -218,7 +263,32 @@
 		return notRunResult(refused), false
 	}
 	client.put(c, true)
-	return resultFromReply(replies[1], true), false
+	return resultFromReply(replies[1], true), h.retriesBusy(ctx, request, replies[1].Err, deadline)
+}
+
+// countRequest adds a statement to the retry budget of its workspace.
+func (h *Home) countRequest(workspace string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retryBudgets.CountRequest(workspace)
+}
+
+// retriesBusy reports whether a statement is sent again because the endpoint was busy, which proves
+// that it has not run. A read that can run at another endpoint goes there instead. It waits for
+// busyRetryDelay before it returns true.
+func (h *Home) retriesBusy(ctx context.Context, request *peer.RunRequest, reply *ReplyError, deadline time.Time) bool {
+	if reply == nil || reply.Code != Busy || request.Alternatives || ctx.Err() != nil ||
+		deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+		return false
+	}
+	h.mu.Lock()
+	allowed := h.retryBudgets.TakeRetry(request.Workspace)
+	h.mu.Unlock()
+	if allowed {
+		h.config.Metrics.busyRetries.Inc(1)
+		h.waitBusyRetry()
+	}
+	return allowed
 }
 
 // minRetryTimeout is the least remaining time with which a request is retried.
@@ -297,6 +367,9 @@
 		client.closeIdleSince(now.Add(-maxIdleTime))
 		client.mu.Lock()
 		unused := now.Sub(client.lastUsed) > idleClientTimeout && client.pinnedConnections == 0
+		if client.updateSlowStart() && unused && !exists(key) {
+			client.endSlowStart()
+		}
 		client.mu.Unlock()
 		switch {
 		case unused && !exists(key):
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -41,6 +41,9 @@
 // that are set on it.
 type pooledConnection struct {
 	Connection
+	client *endpointClient
+	// request is the request for which the connection was used last.
+	request        *peer.RunRequest
 	workspace      string
 	values         map[string]string
 	preparedNames  map[statement.Prepared]string
@@ -57,7 +60,9 @@
 // Run runs commands and records the transaction state after them, and whether a setup command
 // failed or the endpoint does not know a prepared statement.
 func (p *pooledConnection) Run(timeout time.Duration, commands []Command) ([]Reply, error) {
+	p.client.recordSend(p.request, commands)
 	replies, err := p.Connection.Run(timeout, commands)
+	p.client.observeReplies(p.workspace, timeout, commands, replies, err)
 	p.state = statement.InFailedTransaction
 	if err == nil && len(replies) > 0 {
 		p.state = replies[len(replies)-1].State
@@ -157,6 +162,9 @@
 // one of this home's connections is free.
 func (e *endpointClient) acquireConnection(ctx context.Context, request *peer.RunRequest, deadline time.Time) (*pooledConnection, error) {
 	for {
+		if err := e.refusePlace(request); err != nil {
+			return nil, err
+		}
 		found, evicted, err := e.takeIdleOrReserve(request)
 		if evicted != nil {
 			evicted.Close()
@@ -168,6 +176,7 @@
 			return nil, err
 		}
 		if found != nil {
+			found.request = request
 			return found, nil
 		}
 		opened, err := e.dial(ctx, request.Workspace)
@@ -178,6 +187,9 @@
 			}
 			return nil, refusalFromReply(refused)
 		}
+		if err == nil {
+			opened.request = request
+		}
 		return opened, err
 	}
 }
@@ -222,6 +234,7 @@
 		e.config.Metrics.connectionsOpened.Inc(1)
 		c := &pooledConnection{
 			Connection: opened,
+			client:     e,
 			workspace:  workspace,
 		}
 		e.mu.Lock()
@@ -282,9 +295,10 @@
 // transaction or uncertain session values, or exceeds the limit.
 func (e *endpointClient) put(c *pooledConnection, reusable bool) {
 	c.idleSince = e.config.Timer.Now()
+	mayKeep := e.config.Places == nil || e.config.Places.MayKeepConnections(e.target)
 	e.mu.Lock()
 	delete(e.inUse, c)
-	keep := reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit
+	keep := mayKeep && reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit
 	if keep {
 		e.idle = append(e.idle, c)
 	} else {
--- a/engine/endpoint/setup.go
+++ b/engine/endpoint/setup.go
@@ -23,6 +23,10 @@
 		if err != nil {
 			return nil, "", nil, err
 		}
+		if err := client.refusePlace(request); err != nil {
+			client.put(c, true)
+			return nil, "", nil, err
+		}
 		setup, name := c.setupCommands(request.Values, request.Prepared, false)
 		if len(setup) == 0 && len(further) == 0 {
 			return c, name, nil, nil
@@ -43,12 +47,17 @@
 			refused = refusal.NewNotRun(refusal.ConnectionLost, "the session's values or prepared statement could not be set at the endpoint: "+firstError(replies))
 		default:
 			client.recordResponse()
+			if err := client.refusePlace(request); err != nil {
+				client.put(c, true)
+				return nil, "", nil, err
+			}
 			return c, name, replies[len(setup):], nil
 		}
 		client.put(c, false)
 		h.config.Log.Info("Could not set up a connection for a statement.", "request", request.ID, "endpoint", client.target.Key.ID,
 			"attempt", attempt, "problem", refused.Message)
-		if attempt == maxSetupAttempts || ctx.Err() != nil || deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+		if attempt == maxSetupAttempts || ctx.Err() != nil || deadline.Sub(h.config.Timer.Now()) < minRetryTimeout ||
+			!client.reserveAgain(request, countRequests(further)) {
 			return nil, "", nil, refused
 		}
 	}
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -20,6 +20,9 @@
 	// idleTimeout is the longest allowed time between two statements.
 	idleTimeout time.Duration
 	lastUsed    time.Time
+	// evacuated is set once the transaction is being rolled back because of an evacuation. The
+	// home's lock protects it.
+	evacuated bool
 
 	// mu is held while a step runs.
 	mu    sync.Mutex
@@ -33,6 +36,9 @@
 	if err != nil {
 		return errorResult(err)
 	}
+	if refused := client.admitRead(request); refused != nil {
+		return refusedResult(refused)
+	}
 	if err := client.pin(ctx, deadline); err != nil {
 		return errorResult(err)
 	}
@@ -57,7 +63,7 @@
 	result.ExpectedWait = client.expectedWait(request.Workspace)
 	if result.Refused != nil || t.ended {
 		if t.connection != nil {
-			client.put(t.connection, !t.ended && rollBackOnConnection(t.connection))
+			client.put(t.connection, !t.ended && client.rollBackOpen(t.connection))
 		}
 		client.unpin()
 		result.Failed = false
@@ -97,26 +103,33 @@
 	t, ok := h.transactions[request.Transaction]
 	h.mu.Unlock()
 	if !ok {
-		return refusedResult(refusal.NewNotRun(refusal.TransactionUnknown, "the transaction is no longer open"))
+		return refusedResult(h.closedTransactionRefusal(request))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ended {
-		return refusedResult(refusal.NewNotRun(refusal.TransactionUnknown, "the transaction is no longer open"))
+		return refusedResult(h.closedTransactionRefusal(request))
 	}
 	t.lastUsed = h.config.Timer.Now()
+	t.connection.request = request
 	var result *peer.RunResponse
 	err := t.client.runInSlot(ctx, request, deadline, func() bool {
 		if request.Step == peer.StepCommit {
 			result = h.commit(t, request, deadline)
 			return measuresServiceTime(result)
 		}
+		if result = refusedStep(t.client, request); result != nil {
+			return false
+		}
 		commands, name := t.connection.setupCommands(request.Values, request.Prepared, true)
 		if len(commands) > 0 {
 			if result = h.setUpConnection(t, commands, deadline); result != nil {
 				return false
 			}
 		}
+		if result = refusedStep(t.client, request); result != nil {
+			return false
+		}
 		result = h.runStep(t, request, statementCommand(request, name), deadline)
 		return measuresServiceTime(result)
 	})
@@ -131,7 +144,7 @@
 	case request.Step == peer.StepCommit && err == nil:
 		h.release(t, true)
 	case request.Step == peer.StepCommit || result.Failed:
-		h.release(t, rollBackOnConnection(t.connection))
+		h.release(t, t.client.rollBackOpen(t.connection))
 	}
 	return result
 }
@@ -180,6 +193,10 @@
 // transaction is then still open.
 func (h *Home) commit(t *transaction, request *peer.RunRequest, deadline time.Time) *peer.RunResponse {
 	for {
+		if err := t.client.refusePlace(request); err != nil {
+			t.ended = true
+			return errorResult(err)
+		}
 		timeout := deadline.Sub(h.config.Timer.Now())
 		sample := t.client.beginSample(request, timeout)
 		replies, err := t.connection.Run(timeout, []Command{Commit{ID: request.ID}})
@@ -192,7 +209,7 @@
 		t.client.recordResponse()
 		reply := replies[0]
 		if reply.Err == nil || reply.Err.Code != Busy || reply.State != statement.InTransaction ||
-			deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
+			deadline.Sub(h.config.Timer.Now()) < minRetryTimeout || !t.client.awaitResend(request, deadline) {
 			t.ended = reply.State != statement.Idle
 			return resultFromReply(reply, t.hasWrites)
 		}
@@ -232,12 +249,16 @@
 		h.release(t, false)
 		return
 	}
-	h.release(t, keep && rollBackOnConnection(t.connection))
+	h.release(t, keep && t.client.rollBackOpen(t.connection))
 }
 
 // rollBackOnConnection rolls back the transaction that is open on a connection, and
-// reports whether the connection can be reused.
+// reports whether the connection can be reused. If the budget of a cold endpoint has no room, the
+// connection has to be closed instead, on which the endpoint rolls back as well.
 func rollBackOnConnection(c *pooledConnection) bool {
+	if !c.client.reserveAgain(c.request, 1) {
+		return false
+	}
 	replies, err := c.Run(rollBackTimeout, []Command{Rollback{}})
 	return err == nil && replies[0].State == statement.Idle
 }
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -21,16 +21,20 @@
 	term        uint64
 	received    map[string]uint64
 	unreachable map[string]bool
+	servesWell  map[string]bool
 	promotedIDs []string
 	tokens      []uint64
 	// ignoreRequests is the number of promotion requests that will fail without effect.
 	ignoreRequests int
+	// queriedIDs are the endpoints that received a control command.
+	queriedIDs []string
 }
 
 func (f *fakeDatabase) RunControlCommand(_ context.Context, target catalog.Endpoint, command endpoint.Command) (*endpoint.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := target.Key.ID
+	f.queriedIDs = append(f.queriedIDs, id)
 	if f.unreachable[id] {
 		return nil, errNoResponse
 	}
@@ -51,6 +55,12 @@
 	}, nil
 }
 
+func (f *fakeDatabase) ServesWell(target catalog.Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servesWell[target.Key.ID]
+}
+
 func (f *fakeDatabase) Promote(_ context.Context, _, id, _ string, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -105,6 +105,8 @@
 	Target time.Duration
 	// Regions are the regions in which the statement may run.
 	Regions catalog.Regions
+	// Alternatives means that the calling VM can run the statement at another endpoint.
+	Alternatives bool
 }
 
 // RunResponse is the response to RunRequest.
@@ -185,6 +187,9 @@
 	Claims bool
 	// WholeFleet requests all registrations, because a difference did not apply.
 	WholeFleet bool
+	// EvacuationsRevision is the revision of the set of evacuated data centres that the
+	// requesting VM knows.
+	EvacuationsRevision uint64
 }
 
 // KnownRevision is a known store revision and the digest of the data at that revision.
@@ -222,6 +227,13 @@
 	// VMsDelta is set in place of VMs if the responding VM knows all changes since the
 	// requesting VM's revision.
 	VMsDelta *catalog.VMDelta
+	// EvacuationsRevision is the revision of the set of evacuated data centres that the
+	// responding VM knows; 0 if it knows none.
+	EvacuationsRevision uint64
+	// Evacuations is the whole set if it is newer than the requesting VM's.
+	Evacuations *catalog.Evacuations
+	// EvacuationAges holds for how long VMs have known of each evacuation in the set.
+	EvacuationAges map[string]time.Duration
 }
 
 // Suspicion is the argument of two calls: Suspect reports to the leader that a VM does not
@@ -230,6 +242,9 @@
 	// From is the calling VM.
 	From   string
 	Target catalog.Endpoint
+	// Failing means that the endpoint responds but fails many of its statements. Confirm then
+	// requests whether the called VM, its home, has seen it serve statements.
+	Failing bool
 }
 
 // ConfirmResponse is the response of a VM that was requested to probe an endpoint.
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/engine/view"
@@ -55,7 +56,13 @@
 	staleReads         []bool
 	ranges             int
 	// loseNextCommit applies the next commit and loses its response.
+	renewals       int
 	loseNextCommit bool
+	// evacuations are the changes of evacuations, and evacuationReads counts the reads of all.
+	evacuations     []evacuation.Change
+	evacuationReads int
+	// invalid makes watches fail that return the configuration.
+	invalid bool
 	// delayNextCommit leaves the next commit to the test, in delayed, without a response.
 	delayNextCommit bool
 	delayed         store.Change
@@ -169,9 +176,16 @@
 	if _, ok := f.leases[lease]; !ok {
 		return store.ErrLeaseExpired
 	}
+	f.renewals++
 	return nil
 }
 
+func (f *fakeStore) countRenewals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.renewals
+}
+
 func (f *fakeStore) RevokeLease(_ context.Context, lease uint64) error {
 	f.expireLease(lease)
 	return nil
@@ -298,6 +312,11 @@
 
 // newFixtureWithTimer returns a VM that takes the time from a service.
 func newFixtureWithTimer(service timer.Service) *fixture {
+	return newFixtureWith(service, func(*fixture, *store.Config) {})
+}
+
+// newFixtureWith returns a VM with a changed configuration.
+func newFixtureWith(service timer.Service, change func(*fixture, *store.Config)) *fixture {
 	f := &fixture{fake: newFakeStore()}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	DeferCleanup(f.stop)
@@ -308,12 +327,15 @@
 			Region:      "a",
 			Address:     netip.MustParseAddrPort("10.0.0.9:7560"),
 			Incarnation: 1,
+			Size:        catalog.VMSize{Cores: 2},
 		},
 		Timer:       service,
 		Log:         logr.Discard(),
 		Unreachable: func(string) bool { return false },
+
+		EvacuationLimit: evacuationLimit,
 	})
-	f.syncer = store.New(store.Config{
+	config := store.Config{
 		Store:               f.fake,
 		ConfigurationSource: configurationSource{f.fake},
 		ReportSource:        reportSource{f.fake},
@@ -323,7 +345,9 @@
 		Registry:            metrics.NewRegistry(),
 		Jitter:              func() float64 { return 0.5 },
 		HearsMostNeighbours: func() bool { return !f.isolated.Load() },
-	})
+	}
+	change(f, &config)
+	f.syncer = store.New(config)
 	return f
 }
 
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -41,16 +39,19 @@
 	// maxRegistrationAttempts is how often a registration is tried at once. After the first
 	// conflict the revisions of the keys are known.
 	maxRegistrationAttempts = 3
-	// renewalsPerTTL is how often a lease is renewed within its TTL.
-	renewalsPerTTL = 3
+	// readerRenewalsPerTTL is how often a VM that reads the store renews its lease within the TTL,
+	// and renewalsPerTTL how often the others do. Renewals are half of the calls of a large fleet
+	// at rest. The renewals of readers also show how old the data is that they pass on.
+	readerRenewalsPerTTL = 3
+	renewalsPerTTL       = 2
 )
 
-// registration is the value that is stored under a VM's key.
-type registration struct {
-	DataCentre  string         `json:"dataCentre"`
-	Region      string         `json:"region"`
-	Address     netip.AddrPort `json:"address"`
-	Incarnation uint64         `json:"incarnation"`
+// renewalInterval returns the time between two renewals of the registration.
+func (s *Syncer) renewalInterval() time.Duration {
+	if s.ReadsStore() {
+		return registrationTTL / readerRenewalsPerTTL
+	}
+	return registrationTTL / renewalsPerTTL
 }
 
 // Register keeps this VM registered until the context ends, and then deletes its
@@ -87,7 +88,7 @@
 		}
 		s.recordCall(sentAt, nil)
 		backoff.reset()
-		s.sleep(ctx, s.withJitter(registrationTTL/renewalsPerTTL))
+		s.sleep(ctx, s.withJitter(s.renewalInterval()))
 	}
 	if lease == 0 {
 		return
@@ -107,6 +108,8 @@
 		Region:      self.Region,
 		Address:     self.Address,
 		Incarnation: self.Incarnation,
+		Cores:       self.Size.Cores,
+		LinkMbps:    self.Size.LinkMbps,
 	})
 	if err != nil {
 		return 0, eris.Wrap(err, "encode the registration")
@@ -336,48 +339,3 @@
 	}
 	return false
 }
-
-// decodeRegistration decodes a registration. One that is not complete does not name a VM.
-func decodeRegistration(name string, value []byte) (registration, error) {
-	var r registration
-	if err := json.Unmarshal(value, &r); err != nil {
-		return registration{}, eris.Wrap(err, "decode the registration")
-	}
-	if name == "" || r.DataCentre == "" || r.Region == "" || r.Address.Port() == 0 || r.Incarnation == 0 {
-		return registration{}, eris.New("a field of the registration is missing")
-	}
-	return r, nil
-}
-
-// decodeRegistrations returns the VMs and the leader. It skips registrations that cannot
-// be decoded.
-func (s *Syncer) decodeRegistrations(items []Item, revision uint64) *catalog.VMSnapshot {
-	vms := &catalog.VMSnapshot{
-		Revision: revision,
-		ByName:   map[string]catalog.VM{},
-	}
-	for _, item := range items {
-		if item.Key == LeaderKey {
-			vms.Leader = string(item.Value)
-			continue
-		}
-		name, ok := strings.CutPrefix(item.Key, vmPrefix)
-		if !ok {
-			continue
-		}
-		r, err := decodeRegistration(name, item.Value)
-		if err != nil {
-			s.config.Log.Info("Could not decode a registration.", "key", item.Key, "error", err.Error())
-			continue
-		}
-		vms.ByName[name] = catalog.VM{
-			Name:        name,
-			DataCentre:  r.DataCentre,
-			Region:      r.Region,
-			Address:     r.Address,
-			Incarnation: r.Incarnation,
-			Revision:    item.Revision,
-		}
-	}
-	return vms
-}
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/placement"
 	"amaranthdock.dev/decision/staleness"
@@ -60,6 +61,9 @@
 	missingPositionAt time.Time
 	// unreachableUntil is the time until which reads avoid the endpoint.
 	unreachableUntil time.Time
+	// avoidUntil is the time until which reads that may run elsewhere avoid the endpoint, because
+	// it fails a part of its statements.
+	avoidUntil time.Time
 	// demoted is set when the endpoint rejects a statement because it is not the primary.
 	// It is cleared when the endpoint's report changes to primary, or when the endpoint
 	// proves that it is the primary.
@@ -71,6 +75,16 @@
 	// endpoint is draining; 0 if it is not.
 	drainingSince time.Duration
 	reported      reportedCapacity
+	// coldUntil is the reading of SinceBoot at which the cold period of the endpoint ends; 0 if
+	// there was none.
+	coldUntil time.Duration
+	// budgetSpentUntil is the time until which the endpoint takes no statements because it is
+	// cold, as its home has reported.
+	budgetSpentUntil time.Time
+	// lostHome is the first home of the endpoint, if it was not available at lostHomeAt, a
+	// reading of SinceBoot. Only isHomeLost uses them.
+	lostHome   string
+	lostHomeAt time.Duration
 }
 
 // database returns the state of a database. The caller holds the lock.
@@ -107,6 +121,7 @@
 	if current.Role != catalog.RolePrimary && previous.Key == current.Key && previous.Role == catalog.RolePrimary {
 		d.endpoint(current.Key).demoted = true
 	}
+	d.endpoint(current.Key).recordColdness(previous, current, now)
 	switch state := d.endpoint(current.Key); {
 	case !current.Draining:
 		state.drainingSince = 0
@@ -196,7 +211,7 @@
 }
 
 // Candidates returns the endpoints that may run reads of a database: all of them except
-// for those that are excluded, are draining, or were unreachable a moment ago.
+// for those that are excluded, are draining or evacuated, or were unreachable a moment ago.
 func (v *View) Candidates(name string, excluded map[string]bool) []placement.Candidate {
 	primary, hasPrimary := v.Primary(name)
 	reported := v.endpoints.Load().ByID
@@ -207,7 +222,7 @@
 	var candidates []placement.Candidate
 	var capacities []reportedCapacity
 	for _, e := range reported {
-		if e.Database != name || e.Draining || excluded[e.Key.ID] {
+		if e.Database != name || e.Draining || excluded[e.Key.ID] || v.Access(e) != evacuation.Open {
 			continue
 		}
 		state := d.endpoint(e.Key)
@@ -220,6 +235,7 @@
 			Region:             v.Region(e.DataCentre),
 			Primary:            hasPrimary && e.Key == primary.Key,
 			Slots:              e.Slots,
+			Penalty:            state.budgetPenalty(now) + state.ejectionPenalty(now),
 			InFlight:           state.inFlight,
 			ServiceTime:        state.meanStatementTime,
 			ReportedWait:       state.queueWait,
@@ -276,6 +292,8 @@
 	Duration time.Duration
 	// QueueWait is the wait for a slot that the home expects.
 	QueueWait time.Duration
+	// BudgetWait is how long the endpoint takes no statements because it is cold.
+	BudgetWait time.Duration
 	// Position is the endpoint's log position; zero if it is unknown.
 	Position logpos.Position
 	// ProvedPrimary is set if the endpoint proved that it is the primary.
@@ -288,6 +306,8 @@
 	MissingPosition logpos.Position
 	// Unreachable is set if no home could reach the endpoint.
 	Unreachable bool
+	// Ejected is set if the home avoids the endpoint because it fails a part of its statements.
+	Ejected bool
 }
 
 // EndStatement records the outcome of a statement that was counted with BeginStatement.
@@ -303,6 +323,7 @@
 	}
 	state.queueWait = outcome.QueueWait
 	state.queueWaitAt = now
+	state.recordBudgetWait(now, outcome.BudgetWait)
 	state.position = logpos.Max(state.position, outcome.Position)
 	if !outcome.MissingPosition.IsZero() {
 		state.missingPosition = outcome.MissingPosition
@@ -311,6 +332,9 @@
 	if outcome.Unreachable {
 		state.unreachableUntil = now.Add(unreachableRetryDelay)
 	}
+	if outcome.Ejected {
+		state.avoidUntil = now.Add(ejectedRetryDelay)
+	}
 	if outcome.ProvedPrimary {
 		v.recordProvedPrimary(d, e, state, outcome.Position.Term)
 	}
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -16,6 +16,8 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/decision/slowstart"
 	"amaranthdock.dev/engine/caller"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
@@ -72,8 +74,10 @@
 	Store               store.Store
 	ConfigurationSource store.ConfigurationSource
 	ReportSource        store.ReportSource
-	Promoter            failover.Promoter
-	Dialer              endpoint.Dialer
+	// EvacuationSource is used if EvacuationLimit is above 0.
+	EvacuationSource store.EvacuationSource
+	Promoter         failover.Promoter
+	Dialer           endpoint.Dialer
 	// DialVM opens connections to other VMs. PeerListener accepts connections from them.
 	DialVM       func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	PeerListener net.Listener
@@ -98,6 +102,8 @@
 	startedAt   time.Duration
 	leaving     atomic.Bool
 	ready       atomic.Bool
+	// checkingFirstHome is set while checkFirstHome calls a VM.
+	checkingFirstHome atomic.Bool
 	// cutOff is set while this VM may not use its shares of limits any more. usedShares is set
 	// once it could; only runMaintenance uses it.
 	cutOff     atomic.Bool
@@ -114,6 +120,9 @@
 	if config.Store == nil || config.ConfigurationSource == nil || config.ReportSource == nil || config.Promoter == nil || config.Dialer == nil {
 		return nil, eris.New("vm: Config lacks Store, ConfigurationSource, ReportSource, Promoter or Dialer")
 	}
+	config.Self.Size = config.Size
+	homeWeight := routing.HomeWeight(config.Size.Cores, config.Size.LinkMbps)
+	metrics.GetOrRegisterGauge("fleet.homeWeight", config.Registry).Update(int64(homeWeight))
 	v := &VM{
 		config:      config,
 		connections: caller.NewConnectionSet(config.Timer),
@@ -133,11 +142,14 @@
 		Log:         config.Log.WithName("view"),
 		Unreachable: v.clients.Unreachable,
 		DrainLimit:  config.DrainLimit,
+
+		EvacuationLimit: config.EvacuationLimit,
 	})
 	v.store = store.New(store.Config{
 		Store:               config.Store,
 		ConfigurationSource: config.ConfigurationSource,
 		ReportSource:        config.ReportSource,
+		EvacuationSource:    v.evacuationSource(),
 		View:                v.view,
 		Timer:               config.Timer,
 		Log:                 config.Log.WithName("store"),
@@ -147,13 +159,21 @@
 		IsSeed:              slices.Contains(config.Seeds, config.Self.Address),
 	})
 	v.home = endpoint.New(endpoint.Config{
-		Dialer:             config.Dialer,
-		Timer:              config.Timer,
-		Log:                config.Log.WithName("endpoint"),
-		Registry:           config.Registry,
-		Lookup:             v.view.Endpoint,
-		IsFirstHome:        v.view.IsFirstHome,
+		Dialer:      config.Dialer,
+		Timer:       config.Timer,
+		Log:         config.Log.WithName("endpoint"),
+		Registry:    config.Registry,
+		Lookup:      v.view.Endpoint,
+		IsFirstHome: v.view.IsFirstHome,
+		Coldness:    v.view.Coldness,
+		ColdTolerance: slowstart.Config{
+			Overage: config.ColdOverage,
+			Slack:   config.ColdSlack,
+		},
+		CheckFirstHome:     v.checkFirstHome,
 		ReportUnresponsive: func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
+		ReportFailing:      func(target catalog.Endpoint) { v.failover.ReportFailing(target) },
+		Places:             v.view,
 	})
 	v.newDependentComponents()
 	return v, nil
@@ -229,7 +249,7 @@
 // may exit when Run returns.
 func (v *VM) Run(ctx context.Context) error {
 	v.config.Log.Info("Starting.", "dataCentre", v.config.Self.DataCentre, "address", v.config.Self.Address.String(),
-		"incarnation", v.config.Self.Incarnation)
+		"incarnation", v.config.Self.Incarnation, "cores", v.config.Self.Size.Cores, "linkMbps", v.config.Self.Size.LinkMbps)
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	registered, deregister := context.WithCancel(running)
@@ -251,6 +271,7 @@
 		"gossip":        v.gossip.Run,
 		"failover":      v.failover.Run,
 		"maintenance":   v.runMaintenance,
+		"evacuations":   v.followEvacuations,
 	} {
 		go v.loop(running, task, loop)
 	}
