--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -73,6 +73,7 @@
 	// statements after having been idle.
 	lastProgress time.Time
 	sample       staleness.Sample
+	limits       learnedLimits
 	// detector tells whether the endpoint fails a part of its statements; failingReportAt is when
 	// that was last reported.
 	detector        *outlier.Detector
@@ -90,6 +91,7 @@
 		waiters:  map[uint64]chan error{},
 		inUse:    map[*pooledConnection]struct{}{},
 		detector: outlier.New(),
+		limits:   newLearnedLimits(target.Slots),
 	}
 	e.queue = scheduling.New(scheduling.Config{
 		Slots:              target.Slots + slotMargin,
@@ -117,7 +119,9 @@
 		e.releaseSlot(request, item, false)
 		return refusal.NewNotRun(refusal.QueueTimeout, "the VM was suspended until the timeout of the statement was over")
 	}
-	if waited := e.config.Timer.Now().Sub(arrived); waited > slowWaitThreshold {
+	waited := e.config.Timer.Now().Sub(arrived)
+	e.recordWait(waited)
+	if waited > slowWaitThreshold {
 		e.config.Log.V(1).Info("A statement waited for a slot.", "request", request.ID, "endpoint", e.target.Key.ID,
 			"database", e.target.Database, "workspace", request.Workspace, "waited", waited.String())
 	}
@@ -157,6 +161,7 @@
 		Deadline:    deadline,
 		Transaction: request.Step == peer.StepNext || request.Step == peer.StepCommit,
 		Priority:    request.Priority,
+		Write:       countsAsWrite(request),
 		Requests:    requestCount(request),
 	}
 	if err := e.refuseIfBudgetSpent(request, arriving); err != nil {
@@ -206,6 +211,7 @@
 // processQueue starts the items that have a slot and drops those that expired. The
 // lock must be held.
 func (e *endpointClient) processQueue() {
+	e.updateLimits()
 	for {
 		switch decision := e.queue.Next(e.config.Timer.Now()).(type) {
 		case scheduling.Run:
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -64,6 +64,9 @@
 	connectionsOpened metrics.Counter
 	statements        metrics.Counter
 	openTransactions  metrics.Gauge
+	limitsLowered     metrics.Counter
+	limitsRaised      metrics.Counter
+	busyReplies       metrics.Counter
 	// ejections counts how often an endpoint was ejected, and busyRetries the statements that were
 	// sent again after a busy reply.
 	ejections   metrics.Counter
@@ -95,6 +98,9 @@
 		connectionsOpened: metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
 		statements:        metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
 		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
+		limitsLowered:     metrics.GetOrRegisterCounter("endpoint.capacity.lowered", config.Registry),
+		limitsRaised:      metrics.GetOrRegisterCounter("endpoint.capacity.raised", config.Registry),
+		busyReplies:       metrics.GetOrRegisterCounter("endpoint.capacity.busyReplies", config.Registry),
 		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
 		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
 		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
@@ -119,6 +125,7 @@
 	result := h.run(ctx, request)
 	if client, ok := h.existingClient(request.Endpoint); ok {
 		result.Report.Ejected = client.isEjected()
+		client.reportCapacity(request, &result.Report)
 	}
 	h.reportBudget(request, result)
 	if !result.ProvedPrimary || request.Step == peer.StepPosition {
@@ -237,7 +244,9 @@
 		// Leave time for a second attempt if the reply to the read is lost.
 		timeout /= 2
 	}
+	sample := client.beginSample(request, timeout)
 	replies, err := c.Run(timeout, commands)
+	sample.end(replies, err)
 	if err != nil {
 		client.put(c, false)
 		client.recordNoResponse()
--- a/engine/view/database.go
+++ b/engine/view/database.go
@@ -74,6 +74,7 @@
 	// drainingSince is the time, as a reading of SinceBoot, at which this VM learned that the
 	// endpoint is draining; 0 if it is not.
 	drainingSince time.Duration
+	reported      reportedCapacity
 	// coldUntil is the reading of SinceBoot at which the cold period of the endpoint ends; 0 if
 	// there was none.
 	coldUntil time.Duration
@@ -219,6 +220,7 @@
 	defer v.mu.Unlock()
 	d := v.database(name)
 	var candidates []placement.Candidate
+	var capacities []reportedCapacity
 	for _, e := range reported {
 		if e.Database != name || e.Draining || excluded[e.Key.ID] || v.Access(e) != evacuation.Open {
 			continue
@@ -242,7 +244,9 @@
 			MissingPosition:    state.missingPosition,
 			MissingPositionAge: now.Sub(state.missingPositionAt),
 		})
+		capacities = append(capacities, state.reported)
 	}
+	addReported(now, candidates, capacities)
 	return candidates
 }
 
