Order the queue of an endpoint by urgency across workspaces

Cause: the queue orders by priority only within a workspace. In a burst of the least urgent kind (4 times its rate, total load 165%) the urgent statements of the largest workspace wait behind the least urgent ones of all others.

Change: the policy MostUrgentFirst. Items that can still meet their target come first, then by priority, then the workspace furthest behind its share. The share of a workspace covers its most urgent work first. Starved items (starvationBound: half of the own time limit) and items that would miss their target take up to a fifth of the service. The permitted wait follows from the item's target or time limit, waiting items that have no time left are displaced, and refusals carry a retry delay from a plan of returns. WeightedFair is as before. TestQueueKeepsItems also covers the new policy.

The tests of decision/scheduling pass.

--- a/decision/scheduling/decision.go
+++ b/decision/scheduling/decision.go
@@ -7,18 +7,21 @@
 )
 
 // Decision is the result of Queue.Enqueue (Enqueued or Refused) or Queue.Next (Run,
-// Expired or Idle).
+// Expired, Displaced or Idle).
 type Decision interface {
 	decision()
 }
 
-// Enqueued means that the item was accepted. Next will return it in Run or Expired.
+// Enqueued means that the item was accepted. Next will return it in Run, Expired or
+// Displaced.
 type Enqueued struct{}
 
 // Expired means that an item was dropped because it can no longer finish before its
 // deadline. The caller refuses it as not run, with the reason queueTimeout.
 type Expired struct {
 	Item Item
+	// RetryAfter is the delay after which a retry can succeed; 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // Idle means that there is nothing to start: no item waits, or no slot is free.
--- a/decision/scheduling/flow.go
+++ b/decision/scheduling/flow.go
@@ -21,7 +21,9 @@
 	// Queue.fairService. overShare is true while the subject is far ahead of that.
 	serviceReceived float64
 	overShare       bool
-	lastArrival     time.Time
+	// urgent is used in place of serviceReceived and overShare under MostUrgentFirst.
+	urgent      urgentShare
+	lastArrival time.Time
 	// lastMeasured is when a statement of the subject last completed.
 	lastMeasured time.Time
 }
@@ -69,6 +71,13 @@
 	return item
 }
 
+// popStatement removes and returns the statement with the given index.
+func (f *flow) popStatement(index int) Item {
+	item := f.statements[index].item
+	f.statements = slices.Delete(f.statements, index, index+1)
+	return item
+}
+
 // push inserts an item after those with the same or a more urgent priority.
 func (f *flow) push(item Item, sequence uint64) {
 	queue := f.queue(item.Transaction)
--- a/decision/scheduling/policy.go
+++ b/decision/scheduling/policy.go
@@ -1,7 +1,9 @@
 package scheduling
 
+import "time"
+
 // Policy is the order in which waiting items are served: FirstInFirstOut,
-// RoundRobin or WeightedFair.
+// RoundRobin, WeightedFair or MostUrgentFirst.
 type Policy interface {
 	policy()
 }
@@ -28,6 +30,18 @@
 func (RoundRobin) policy()      {}
 func (WeightedFair) policy()    {}
 
+// popNext removes and returns the item to start next, and its flow; false if none waits.
+func (q *Queue) popNext(now time.Time) (*flow, Item, bool) {
+	if q.urgent() {
+		return q.popMostUrgent(now)
+	}
+	f, steps := q.pickNext()
+	if f == nil {
+		return nil, Item{}, false
+	}
+	return f, f.pop(steps), true
+}
+
 // pickNext returns the flow to serve next, or nil if nothing waits, and whether to
 // serve its transaction steps.
 func (q *Queue) pickNext() (*flow, bool) {
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -74,6 +74,8 @@
 	Priority int
 	// Target is the time until which a caller is well served; zero if there is none.
 	Target time.Time
+	// Spread, in [0, 1), places the return of the caller after a refusal among others.
+	Spread float64
 }
 
 // Queue orders the statements of one endpoint.
@@ -93,6 +95,16 @@
 	// far, in seconds, as of fairServiceAt.
 	fairService   float64
 	fairServiceAt time.Time
+	// classes holds the service times by priority. It, exceptionBalance, displacementDue and
+	// returns are used under MostUrgentFirst.
+	classes [urgencyClasses]movingAverage
+	// exceptionBalance is the service time, in seconds, that exceptions may take; they wait while
+	// it is negative.
+	exceptionBalance float64
+	// displacementDue is set if an item may have to be displaced.
+	displacementDue bool
+	// returns is, by priority, the time until which returns of refused callers are planned.
+	returns [urgencyClasses]time.Time
 }
 
 // runningItem is an item that holds a slot.
@@ -102,6 +114,7 @@
 	// chargedTime and chargedWeight were used to charge the flow at the start.
 	chargedTime   time.Duration
 	chargedWeight float64
+	priority      int
 }
 
 // New returns an empty queue.
@@ -139,6 +152,7 @@
 	q.lastSequence++
 	f.push(item, q.lastSequence)
 	q.waitingItems[item.ID] = item
+	q.displacementDue = q.urgent() && !q.config.AdmitAll
 	return Enqueued{}
 }
 
@@ -156,6 +170,12 @@
 	return q.expectedWait(now, f, Item{Priority: lowestPriority})
 }
 
+// ExpectedWaitOf estimates how long a new item would wait. Unlike ExpectedWait it counts only
+// what is served before the item.
+func (q *Queue) ExpectedWaitOf(now time.Time, item Item) time.Duration {
+	return q.expectedWait(now, q.findOrAddFlow(item.Subject), item)
+}
+
 // Complete releases the slot of an item and records its service time. An id that is
 // not running is ignored.
 func (q *Queue) Complete(now time.Time, id uint64) {
@@ -168,9 +188,11 @@
 	// The flow was charged the expected time at the start; correct the difference.
 	r.flow.startTag += (service - r.chargedTime).Seconds() / r.chargedWeight
 	r.flow.serviceReceived += (service - r.chargedTime).Seconds() / r.chargedWeight
+	r.flow.urgent.correct(r.priority, (service-r.chargedTime).Seconds()/r.chargedWeight)
 	r.flow.serviceTime.add(service)
 	r.flow.lastMeasured = now
 	q.serviceTime.add(service)
+	q.classes[urgencyClass(r.priority)].add(service)
 }
 
 // ReleaseUnmeasured releases the slot of an item that the endpoint did not respond
@@ -186,28 +208,36 @@
 // Next returns the item to start (Run), an item that was dropped (Expired), or Idle.
 // Call it until it returns Idle.
 func (q *Queue) Next(now time.Time) Decision {
-	if item, ok := q.removeExpired(now); ok {
-		return Expired{Item: item}
+	if f, item, ok := q.removeExpired(now); ok {
+		return Expired{
+			Item:       item,
+			RetryAfter: q.retryAfter(now, f, item, 0),
+		}
+	}
+	if displaced, ok := q.displace(now); ok {
+		return displaced
 	}
 	if len(q.running) >= q.config.Slots {
 		return Idle{}
 	}
 	q.updateFairService(now)
-	f, steps := q.pickNext()
-	if f == nil {
+	minTag := q.minStartTag()
+	f, item, ok := q.popNext(now)
+	if !ok {
 		return Idle{}
 	}
-	q.virtualTime = max(q.virtualTime, q.minStartTag())
-	item := f.pop(steps)
+	q.virtualTime = max(q.virtualTime, minTag)
 	delete(q.waitingItems, item.ID)
 	r := runningItem{
 		flow:          f,
 		started:       now,
-		chargedTime:   time.Duration(q.expectedServiceTime(f) * float64(time.Second)),
+		chargedTime:   q.chargedTime(f, item),
 		chargedWeight: q.activeWeights().effective(f),
+		priority:      item.Priority,
 	}
 	f.startTag += r.chargedTime.Seconds() / r.chargedWeight
 	f.serviceReceived = max(f.serviceReceived, q.fairService) + r.chargedTime.Seconds()/r.chargedWeight
+	f.urgent.charge(q.fairService, item.Priority, r.chargedTime.Seconds()/r.chargedWeight)
 	f.runningCount++
 	q.running[item.ID] = r
 	return Run{Item: item}
@@ -237,24 +267,20 @@
 // removeExpired removes one item that can no longer finish before its deadline, if
 // there is one. It checks whole queues because an item can expire while more urgent
 // items are ahead of it.
-func (q *Queue) removeExpired(now time.Time) (Item, bool) {
+func (q *Queue) removeExpired(now time.Time) (*flow, Item, bool) {
 	for _, f := range q.flows {
-		required := q.requiredTime(now, f)
-		if q.config.AdmitAll {
-			required = 0
-		}
 		for _, queue := range []*[]queuedItem{&f.steps, &f.statements} {
-			at := slices.IndexFunc(*queue, func(w queuedItem) bool { return !now.Add(required).Before(w.item.Deadline) })
+			at := slices.IndexFunc(*queue, func(w queuedItem) bool { return !now.Add(q.requiredTimeOf(now, f, w.item)).Before(w.item.Deadline) })
 			if at < 0 {
 				continue
 			}
 			item := (*queue)[at].item
 			*queue = slices.Delete(*queue, at, at+1)
 			delete(q.waitingItems, item.ID)
-			return item, true
+			return f, item, true
 		}
 	}
-	return Item{}, false
+	return nil, Item{}, false
 }
 
 // findOrAddFlow returns the flow of the subject. It creates the flow if there is none
@@ -290,6 +316,9 @@
 
 // checkAdmission returns a refusal and true if the item must not be accepted.
 func (q *Queue) checkAdmission(now time.Time, f *flow, item Item) (Refused, bool) {
+	if q.urgent() {
+		return q.checkUrgentAdmission(now, f, item)
+	}
 	wait := q.expectedWait(now, f, item)
 	if !now.Add(wait + q.requiredTime(now, f)).Before(item.Deadline) {
 		return Refused{Reason: refusal.DeadlineTooShort}, true
--- a/decision/scheduling/queue_test.go
+++ b/decision/scheduling/queue_test.go
@@ -25,6 +25,9 @@
 	*scheduling.Queue
 	now  time.Time
 	next uint64
+	// priority and target are those of the items that arrive.
+	priority int
+	target   time.Time
 }
 
 func newFixture(config scheduling.Config) *fixture {
@@ -44,6 +47,8 @@
 		ArrivedAt:   f.now,
 		Deadline:    f.now.Add(timeout),
 		Transaction: transaction,
+		Priority:    f.priority,
+		Target:      f.target,
 	})
 }
 
@@ -241,6 +246,7 @@
 				scheduling.FirstInFirstOut{},
 				scheduling.RoundRobin{},
 				scheduling.WeightedFair{},
+				scheduling.MostUrgentFirst{},
 			}).Draw(t, "policy"),
 			Slots:   slots,
 			MaxWait: 50 * time.Millisecond,
@@ -260,6 +266,8 @@
 			"arrive": func(t *rapid.T) {
 				subject := fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "subject"))
 				timeout := time.Duration(rapid.IntRange(1, 100).Draw(t, "timeout")) * time.Millisecond
+				f.priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				f.target = f.now.Add(time.Duration(rapid.IntRange(-10, 100).Draw(t, "target")) * time.Millisecond)
 				decision := f.arrive(subject, rapid.IntRange(1, 5).Draw(t, "weight"), timeout, rapid.Bool().Draw(t, "step"))
 				if _, ok := decision.(scheduling.Enqueued); ok {
 					waiting[f.next] = true
@@ -272,6 +280,8 @@
 					running[d.Item.ID] = true
 				case scheduling.Expired:
 					removeWaiting(d.Item.ID)
+				case scheduling.Displaced:
+					removeWaiting(d.Item.ID)
 				case scheduling.Idle:
 					if len(waiting) > 0 && len(running) < slots {
 						t.Fatalf("%d of %d slots are free while %d items wait", slots-len(running), slots, len(waiting))
--- a/decision/scheduling/share.go
+++ b/decision/scheduling/share.go
@@ -20,7 +20,13 @@
 // subjects are ahead, because a tag jumps forward with each statement that finds its
 // flow empty.
 func (q *Queue) updateFairService(now time.Time) {
-	if policy, ok := q.config.Policy.(WeightedFair); !ok || policy.DisableYielding {
+	switch policy := q.config.Policy.(type) {
+	case WeightedFair:
+		if policy.DisableYielding {
+			return
+		}
+	case MostUrgentFirst:
+	default:
 		return
 	}
 	total, count := q.recentWeights(now)
@@ -36,6 +42,7 @@
 	for _, f := range q.flows {
 		f.serviceReceived = min(f.serviceReceived, q.fairService+maxLeadStatements*averageStatement)
 		f.overShare = f.serviceReceived-q.fairService > overShareStatements*averageStatement
+		f.urgent.update(q.fairService, averageStatement)
 	}
 }
 
