Order the waits at a home by urgency across workspaces

Cause: the home of an endpoint has three waits, for a slot, for the permission to pin a connection to a transaction and for a connection. None of them knows the urgency of other workspaces, and all refusals are alike.

Change: with endpoint.Config.UrgencyAcrossWorkspaces the queue uses MostUrgentFirst; the request's Target becomes the item's on the home's clock; pins and connections go to the most urgent waiter, each fourth pin to a starved one. The reported wait is that of the request's priority. Refusals carry the retry delay of the queue. New metrics endpoint.queue.displaced and endpoint.queue.refused.priorityN, and a log line about displaced statements. Without the field nothing but the refusal metrics changes.

--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -170,10 +170,13 @@
 	return q.expectedWait(now, f, Item{Priority: lowestPriority})
 }
 
-// ExpectedWaitOf estimates how long a new item would wait. Unlike ExpectedWait it counts only
-// what is served before the item.
-func (q *Queue) ExpectedWaitOf(now time.Time, item Item) time.Duration {
-	return q.expectedWait(now, q.findOrAddFlow(item.Subject), item)
+// ExpectedWaitFor estimates how long a new statement of the subject would wait if it had the
+// priority and could meet its target.
+func (q *Queue) ExpectedWaitFor(now time.Time, subject string, priority int) time.Duration {
+	return q.expectedWait(now, q.findOrAddFlow(subject), Item{
+		Priority: priority,
+		Deadline: now.Add(math.MaxInt64),
+	})
 }
 
 // Complete releases the slot of an item and records its service time. An id that is
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -58,7 +58,7 @@
 	open                 int
 	limit                int
 	pinnedConnections    int
-	pinWaiters           []chan struct{}
+	pinWaiters           []pinWaiter
 	connectionLimitUntil time.Time
 	lastUsed             time.Time
 	unresponsive         bool
@@ -72,6 +72,7 @@
 	// statements after having been idle.
 	lastProgress time.Time
 	sample       staleness.Sample
+	urgency      urgencyState
 }
 
 func newEndpointClient(config *Config, target catalog.Endpoint) *endpointClient {
@@ -82,6 +83,7 @@
 		config: config,
 		target: target,
 		queue: scheduling.New(scheduling.Config{
+			Policy:             queuePolicy(config),
 			Slots:              target.Slots + slotMargin,
 			MaxWait:            maxQueueWait,
 			InitialServiceTime: initialServiceTime,
@@ -138,16 +140,9 @@
 	now := e.config.Timer.Now()
 	e.lastUsed = now
 	e.nextItem++
-	decision := e.queue.Enqueue(now, scheduling.Item{
-		ID:          e.nextItem,
-		Subject:     request.Workspace,
-		Weight:      1,
-		ArrivedAt:   now,
-		Deadline:    deadline,
-		Transaction: request.Step == peer.StepNext || request.Step == peer.StepCommit,
-		Priority:    request.Priority,
-	})
+	decision := e.queue.Enqueue(now, queueItem(e.nextItem, request, now, deadline))
 	if refused, ok := decision.(scheduling.Refused); ok {
+		e.countRefusal(request.Priority)
 		return 0, nil, &refusal.Error{
 			Outcome:    refusal.NotRun,
 			Reason:     refused.Reason,
@@ -199,7 +194,12 @@
 			}
 			e.notifyWaiter(decision.Item.ID, nil)
 		case scheduling.Expired:
-			e.notifyWaiter(decision.Item.ID, refusal.NewNotRun(refusal.QueueTimeout, "no slot of the endpoint became free before the timeout"))
+			e.countRefusal(decision.Item.Priority)
+			refused := refusal.NewNotRun(refusal.QueueTimeout, "no slot of the endpoint became free before the timeout")
+			refused.RetryAfter = decision.RetryAfter
+			e.notifyWaiter(decision.Item.ID, refused)
+		case scheduling.Displaced:
+			e.notifyWaiter(decision.Item.ID, e.displacedRefusal(decision))
 		default:
 			return
 		}
@@ -215,7 +215,7 @@
 // pin waits for permission to pin a connection to a transaction. The number of pinned
 // connections is limited so that one connection for each slot remains for statements
 // outside of transactions.
-func (e *endpointClient) pin(ctx context.Context, deadline time.Time) error {
+func (e *endpointClient) pin(ctx context.Context, request *peer.RunRequest, deadline time.Time) error {
 	e.mu.Lock()
 	if e.pinnedConnections < e.pinLimit() {
 		e.pinnedConnections++
@@ -223,7 +223,10 @@
 		return nil
 	}
 	granted := make(chan struct{}, 1)
-	e.pinWaiters = append(e.pinWaiters, granted)
+	e.pinWaiters = append(e.pinWaiters, pinWaiter{
+		granted: granted,
+		item:    queueItem(0, request, e.config.Timer.Now(), deadline),
+	})
 	e.mu.Unlock()
 	timeout := e.config.Timer.After(deadline.Sub(e.config.Timer.Now()))
 	defer timeout.Stop()
@@ -235,7 +238,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	index := slices.Index(e.pinWaiters, granted)
+	index := slices.IndexFunc(e.pinWaiters, func(w pinWaiter) bool { return w.granted == granted })
 	if index < 0 {
 		return nil
 	}
@@ -249,8 +252,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.pinWaiters) > 0 && e.pinnedConnections <= e.pinLimit() {
-		e.pinWaiters[0] <- struct{}{}
-		e.pinWaiters = e.pinWaiters[1:]
+		next := e.nextPinWaiter()
+		e.pinWaiters[next].granted <- struct{}{}
+		e.pinWaiters = slices.Delete(e.pinWaiters, next, next+1)
 		return
 	}
 	e.pinnedConnections--
@@ -268,11 +272,16 @@
 	e.limit = max(limit, 1)
 }
 
-// expectedWait returns the expected wait of a workspace's statement for a slot.
-func (e *endpointClient) expectedWait(workspace string) time.Duration {
+// expectedWait returns the expected wait for a slot of another statement like the request: of
+// its workspace, and of its priority if statements are ordered by urgency.
+func (e *endpointClient) expectedWait(request *peer.RunRequest) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.queue.ExpectedWait(e.config.Timer.Now(), workspace)
+	now := e.config.Timer.Now()
+	if e.config.UrgencyAcrossWorkspaces {
+		return e.queue.ExpectedWaitFor(now, request.Workspace, request.Priority)
+	}
+	return e.queue.ExpectedWait(now, request.Workspace)
 }
 
 // reportIfUnresponsive reports the endpoint if statements run there and none of them
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -43,6 +43,8 @@
 	IsFirstHome func(catalog.Endpoint) bool
 	// ReportUnresponsive is called for endpoints that do not respond; may be nil.
 	ReportUnresponsive func(catalog.Endpoint)
+	// UrgencyAcrossWorkspaces orders the statements of all workspaces by urgency.
+	UrgencyAcrossWorkspaces bool
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -172,7 +174,7 @@
 	if err != nil {
 		result = errorResult(err)
 	}
-	result.ExpectedWait = client.expectedWait(request.Workspace)
+	result.ExpectedWait = client.expectedWait(request)
 	return result
 }
 
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -156,12 +156,14 @@
 // because of the connections of a home that lost power, acquireConnection waits until
 // one of this home's connections is free.
 func (e *endpointClient) acquireConnection(ctx context.Context, request *peer.RunRequest, deadline time.Time) (*pooledConnection, error) {
+	defer e.endConnectionWait(request)
 	for {
 		found, evicted, err := e.takeIdleOrReserve(request)
 		if evicted != nil {
 			evicted.Close()
 		}
 		if err != nil {
+			e.beginConnectionWait(request, deadline)
 			if err == errAtLimit && e.config.Timer.Now().Add(acquireRetryInterval).Before(deadline) && timer.Sleep(ctx, e.config.Timer, acquireRetryInterval) == nil {
 				continue
 			}
@@ -192,6 +194,9 @@
 func (e *endpointClient) takeIdleOrReserve(request *peer.RunRequest) (found, evicted *pooledConnection, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.yieldsConnection(request) {
+		return nil, nil, errAtLimit
+	}
 	if found := e.takeIdle(request.Workspace, request.Values, request.Prepared); found != nil {
 		return found, nil, nil
 	}
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return errorResult(err)
 	}
-	if err := client.pin(ctx, deadline); err != nil {
+	if err := client.pin(ctx, request, deadline); err != nil {
 		return errorResult(err)
 	}
 	t := &transaction{
@@ -54,7 +54,7 @@
 		client.unpin()
 		return errorResult(err)
 	}
-	result.ExpectedWait = client.expectedWait(request.Workspace)
+	result.ExpectedWait = client.expectedWait(request)
 	if result.Refused != nil || t.ended {
 		if t.connection != nil {
 			client.put(t.connection, !t.ended && rollBackOnConnection(t.connection))
