Send the target of an operation and choose endpoints by the wait of its priority

Cause: a home cannot tell how much time an operation has left, and the wait that it reports for one priority misleads reads of another.

Change: with caller.Config.UrgencyAcrossWorkspaces a request carries the time until the target latency of its route, counted from the begin of a transaction, and reads use the wait that was last reported for their own priority within 1 s. vm.Config.UrgencyAcrossWorkspaces sets both this and the field of the home.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -159,7 +159,8 @@
 		DataCentre: v.Self().DataCentre,
 		Region:     v.Self().Region,
 	}
-	id, ok := placement.Choose(from, required, v.Candidates(name, d.excluded))
+	candidates := d.session.manager.applyClassWaits(d.request.Priority, v.Candidates(name, d.excluded))
+	id, ok := placement.Choose(from, required, candidates)
 	if !ok {
 		return catalog.Endpoint{}, false
 	}
@@ -179,6 +180,7 @@
 		Position:      result.Position,
 		ProvedPrimary: result.ProvedPrimary,
 	}
+	d.session.manager.recordClassWait(d.request, result)
 	if result.Refused == nil {
 		outcome.Duration = d.session.manager.config.Timer.Now().Sub(sentAt)
 		v.EndStatement(target, outcome)
@@ -234,6 +236,7 @@
 	for _, home := range d.session.manager.config.View.Homes(target, maxHomesPerEndpoint) {
 		d.request.Endpoint = target.Key.ID
 		d.request.Timeout = d.remaining()
+		d.request.Target = d.session.remainingTarget(d.auth, d.started)
 		if d.request.Timeout < minSendTimeout || ctx.Err() != nil {
 			break
 		}
--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -176,6 +176,11 @@
 const drainLimit = 100 * time.Millisecond
 
 func newFixture() *fixture {
+	return newFixtureWith(func(*caller.Config) {})
+}
+
+// newFixtureWith returns a fixture with changed settings.
+func newFixtureWith(change func(*caller.Config)) *fixture {
 	f := &fixture{fleet: &fakeFleet{}}
 	self := catalog.VM{
 		Name:       "self",
@@ -190,7 +195,7 @@
 		Unreachable: func(string) bool { return false },
 		DrainLimit:  drainLimit,
 	})
-	f.sessions = caller.New(caller.Config{
+	config := caller.Config{
 		View:     f.view,
 		Home:     f.fleet,
 		Peers:    f.fleet,
@@ -199,7 +204,9 @@
 		Timer:    timer.NewSystem(),
 		Log:      logr.Discard(),
 		Registry: metrics.NewRegistry(),
-	})
+	}
+	change(&config)
+	f.sessions = caller.New(config)
 	return f
 }
 
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -91,6 +91,7 @@
 	run.Endpoint = t.endpoint.Key.ID
 	run.Transaction = t.key
 	run.Timeout = statementTimeout(t.auth.route)
+	run.Target = s.remainingTarget(t.auth, started)
 	s.lastAttempt = attempt{
 		endpoint: t.endpoint.Key.ID,
 		home:     t.home.Name,
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -57,6 +57,9 @@
 	Timer    timer.Service
 	Log      logr.Logger
 	Registry metrics.Registry
+
+	// UrgencyAcrossWorkspaces orders the statements of all workspaces by urgency.
+	UrgencyAcrossWorkspaces bool
 }
 
 // SessionManager opens sessions and holds what they share.
@@ -66,6 +69,7 @@
 	sampleRequests   sampleRequests
 	// lastTransaction is the number of the newest transaction of this process.
 	lastTransaction atomic.Uint64
+	classWaits      classWaits
 	// ready is set once this VM has a configuration and has joined the fleet.
 	ready atomic.Bool
 	// stopped is set by StopWork.
@@ -105,6 +109,7 @@
 type transaction struct {
 	readOnly bool
 	failed   bool
+	began    time.Time
 	// opened is set once the transaction is open at an endpoint.
 	opened bool
 	// ended is the refusal of the next request of a transaction that the proxy rolled back;
@@ -300,6 +305,7 @@
 	s.transaction = &transaction{
 		readOnly: b.ReadOnly,
 		auth:     auth,
+		began:    s.manager.config.Timer.Now(),
 	}
 	return s.respond(statement.Response{})
 }
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -154,6 +154,8 @@
 		Lookup:             v.view.Endpoint,
 		IsFirstHome:        v.view.IsFirstHome,
 		ReportUnresponsive: func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
+
+		UrgencyAcrossWorkspaces: config.UrgencyAcrossWorkspaces,
 	})
 	v.newDependentComponents()
 	return v, nil
@@ -204,6 +206,8 @@
 		Timer:    c.Timer,
 		Log:      c.Log.WithName("caller"),
 		Registry: c.Registry,
+
+		UrgencyAcrossWorkspaces: c.UrgencyAcrossWorkspaces,
 	})
 }
 
