Give borrowed tokens to the most urgent waiting requests

Cause: when a loan has fewer tokens than requests of a workspace wait for it, the requests that happen to run first take them, whatever their priority.

Change: with lending.Config.UrgencyAcrossWorkspaces the limiter gives the tokens of a loan by priority, and each fourth to a request that has waited for half of two loans. The caller's sessions pass the priority of the route. The metric limits.waiting counts the requests that wait. A lender still does not order the requests of several VMs, because it responds to each at once.

--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -87,6 +87,10 @@
 	return nil
 }
 
+func (f *fakeFleet) AdmitWithPriority(ctx context.Context, workspace string, _ int) error {
+	return f.Admit(ctx, workspace)
+}
+
 func (f *fakeFleet) Refund(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -203,7 +203,7 @@
 	if auth.route.Public {
 		return nil
 	}
-	return s.config.Limiter.Admit(ctx, auth.workspace)
+	return s.config.Limiter.AdmitWithPriority(ctx, auth.workspace, auth.route.Priority)
 }
 
 // refund returns the rate limit token of an operation that was refused before any part
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -38,9 +38,10 @@
 
 // Limiter enforces the rate limits of workspaces.
 type Limiter interface {
-	// Admit takes a token of the workspace's limit. If there is none, it returns a
-	// *refusal.Error with the outcome NotRun.
-	Admit(ctx context.Context, workspace string) error
+	// AdmitWithPriority takes a token of the workspace's limit for a request of a route with the
+	// priority; 0 is the most urgent. If there is none, it returns a *refusal.Error with the
+	// outcome NotRun.
+	AdmitWithPriority(ctx context.Context, workspace string, priority int) error
 	// Refund returns the token of an operation that was refused before it ran.
 	Refund(workspace string)
 }
--- a/engine/lending/lending.go
+++ b/engine/lending/lending.go
@@ -77,6 +77,8 @@
 	Start func() limits.Start
 	// MayUseShares reports whether this VM may use its shares, or only a small part of them.
 	MayUseShares func() bool
+	// UrgencyAcrossWorkspaces gives borrowed tokens to the most urgent waiting requests.
+	UrgencyAcrossWorkspaces bool
 }
 
 // Limiter enforces the rate limits of workspaces on this VM. It is safe for concurrent use.
@@ -84,6 +86,8 @@
 	config   Config
 	borrowed metrics.Counter
 	refused  metrics.Counter
+	// waiting is the number of requests that wait for a loan.
+	waiting metrics.Counter
 
 	mu         sync.Mutex
 	workspaces map[string]*workspaceState
@@ -100,6 +104,7 @@
 		config:         config,
 		borrowed:       metrics.GetOrRegisterCounter("limits.borrowedTokens", config.Registry),
 		refused:        metrics.GetOrRegisterCounter("limits.refused", config.Registry),
+		waiting:        metrics.GetOrRegisterCounter("limits.waiting", config.Registry),
 		workspaces:     map[string]*workspaceState{},
 		bucketsEmptyAt: config.Timer.Now().Add(-minRestartGap),
 	}
@@ -119,9 +124,16 @@
 	}
 }
 
-// Admit takes a token of the workspace. If there is none, it waits for at most two loans.
-// Its errors are *refusal.Error with the outcome refusal.NotRun.
+// Admit takes a token of the workspace for a most urgent request; see AdmitWithPriority.
 func (l *Limiter) Admit(ctx context.Context, name string) error {
+	return l.AdmitWithPriority(ctx, name, 0)
+}
+
+// AdmitWithPriority takes a token of the workspace. If there is none, it waits for at most
+// two loans. The priority is that of the request's route; 0 is the most urgent. Its errors are
+// *refusal.Error with the outcome refusal.NotRun.
+func (l *Limiter) AdmitWithPriority(ctx context.Context, name string, priority int) error {
+	arrived := l.config.Timer.Now()
 	for attempt := 0; ; attempt++ {
 		l.mu.Lock()
 		w, ok := l.workspaceState(name)
@@ -151,24 +163,22 @@
 			w.loanDone = done
 			go l.borrow(name, w, done)
 		}
-		w.waiting++
+		waiter := l.startWaiting(w, arrived, priority)
 		l.mu.Unlock()
 		select {
 		case <-done:
-			l.stopWaiting(w)
+			if l.stopWaiting(w, waiter) {
+				return nil
+			}
 		case <-ctx.Done():
-			l.stopWaiting(w)
+			if l.stopWaiting(w, waiter) {
+				l.Refund(name)
+			}
 			return refusal.NewNotRun(refusal.DeadlineExceeded, "the request ended while it waited for a rate limit token")
 		}
 	}
 }
 
-func (l *Limiter) stopWaiting(w *workspaceState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	w.waiting--
-}
-
 // Refund returns the token of an operation that was refused before it ran. The token
 // expires after the same time as borrowed ones.
 func (l *Limiter) Refund(name string) {
@@ -263,6 +273,7 @@
 		w.nextHolder = lender
 		w.expiringTokens = borrowed
 		w.tokensExpireAt = l.config.Timer.SinceBoot() + loanTTL
+		l.grantTokens(w)
 	} else {
 		w.nextHolder++
 		w.backoffUntil = l.config.Timer.Now().Add(lenderBackoff)
--- a/engine/lending/share.go
+++ b/engine/lending/share.go
@@ -33,6 +33,10 @@
 	loanDone chan struct{}
 	// waiting is the number of requests that wait for a loan.
 	waiting int64
+	// waiters are those requests if tokens are given to the most urgent ones, and grants is the
+	// number of tokens given to them so far.
+	waiters []*loanWaiter
+	grants  uint64
 	// nextHolder is the index of the holder from which the next loan is requested first.
 	nextHolder int
 
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -176,6 +176,8 @@
 		UnregisteredFleetSize: v.unregisteredFleetSize,
 		Start:                 v.store.Start,
 		MayUseShares:          v.store.MayUseShares,
+
+		UrgencyAcrossWorkspaces: c.UrgencyAcrossWorkspaces,
 	})
 	v.gossip = gossip.New(gossip.Config{
 		View:        v.view,
