Charge attempts at another endpoint after an overload to a retry budget

Cause: a read that a full endpoint refuses is sent to another one. While all endpoints of a database are full, a burst of reads is sent twice.

Result: of 100 reads at full endpoints at most 13 are sent a second time, 100 before. The tests of engine/caller pass.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -48,6 +48,7 @@
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
+	s.manager.overloadRetries.countRequest(auth.workspace)
 	return &dispatch{
 		session:  s,
 		auth:     auth,
@@ -202,7 +203,7 @@
 		outcome.Unreachable = true
 		final = result.Refused.Outcome != refusal.NotRun
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		final = d.needsPrimary() || len(d.excluded) > 0
+		final = d.needsPrimary() || len(d.excluded) > 0 || !d.takeOverloadRetry()
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
 		final = d.request.Write || d.request.Step == peer.StepFirst
 	}
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -71,6 +71,7 @@
 	// lastTransaction is the number of the newest transaction of this process.
 	lastTransaction atomic.Uint64
 	classWaits      classWaits
+	overloadRetries overloadRetries
 	// ready is set once this VM has a configuration and has joined the fleet.
 	ready atomic.Bool
 	// stopped is set by StopWork.
--- a/engine/caller/urgency_test.go
+++ b/engine/caller/urgency_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/engine/caller"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
@@ -57,6 +58,19 @@
 		Expect(f.fleet.lastRun().Target).To(BeZero())
 	})
 
+	It("sends few reads a second time while all endpoints are full", func() {
+		// Guards against a burst that doubles because each refused read goes to another
+		// endpoint.
+		f.acceptSample(90)
+		f.fleet.respond = refuseAt(refusal.NewNotRun(refusal.Overloaded, "full"), "p", "r1", "r2")
+		session := f.open("bounded")
+		const reads = 100
+		for range reads {
+			expectRefused(do(session, statement.Read{}, "READ a"), refusal.NotRun, refusal.Overloaded, statement.Idle)
+		}
+		Expect(len(f.fleet.steps())).To(BeNumerically("<=", reads+3+reads/10))
+	})
+
 	It("chooses endpoints by the wait that was reported for the priority", func() {
 		// Guards against an urgent statement that did not wait and makes a full endpoint look
 		// idle to less urgent ones, and against the reverse.
