Compute the time before a deadline once for each flow of the queue

Cause: since the order by urgency, dropping expired items computed the required time for each waiting item, also under the other policies.

Change: the other policies compute it once for each flow with waiting items, and MostUrgentFirst reads the average of the item's priority.

--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -271,9 +271,22 @@
 // there is one. It checks whole queues because an item can expire while more urgent
 // items are ahead of it.
 func (q *Queue) removeExpired(now time.Time) (*flow, Item, bool) {
+	urgent := q.urgent()
 	for _, f := range q.flows {
+		if f.waitingCount() == 0 {
+			continue
+		}
+		required := q.requiredTime(now, f)
+		if q.config.AdmitAll {
+			required = 0
+		}
 		for _, queue := range []*[]queuedItem{&f.steps, &f.statements} {
-			at := slices.IndexFunc(*queue, func(w queuedItem) bool { return !now.Add(q.requiredTimeOf(now, f, w.item)).Before(w.item.Deadline) })
+			at := slices.IndexFunc(*queue, func(w queuedItem) bool {
+				if urgent {
+					required = q.urgentRequiredTime(w.item)
+				}
+				return !now.Add(required).Before(w.item.Deadline)
+			})
 			if at < 0 {
 				continue
 			}
--- a/decision/scheduling/shedding.go
+++ b/decision/scheduling/shedding.go
@@ -40,7 +40,7 @@
 // could wait, and urgent ones were accepted behind as much work as their whole target.
 func (q *Queue) checkUrgentAdmission(now time.Time, f *flow, item Item) (Refused, bool) {
 	wait := q.expectedWait(now, f, item)
-	required := q.requiredTimeOf(now, f, item)
+	required := q.urgentRequiredTime(item)
 	reason := refusal.Overloaded
 	switch permitted := q.permittedWait(now, f, item); {
 	case !now.Add(wait + required).Before(item.Deadline):
@@ -54,6 +54,23 @@
 	}, true
 }
 
+// urgentRequiredTime returns the service time that must fit before the deadline of an item, as
+// requiredTime does, from the item's priority. It is 0 at an idle endpoint.
+func (q *Queue) urgentRequiredTime(item Item) time.Duration {
+	class := q.classes[urgencyClass(item.Priority)]
+	if len(q.running) == 0 || q.config.AdmitAll {
+		return 0
+	}
+	if !class.measured {
+		return time.Duration(q.serviceTime.mean * float64(time.Second))
+	}
+	seconds := class.mean
+	if q.waitingCount() > q.config.Slots {
+		seconds += deadlineDeviations * class.deviation
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // permittedWait returns the expected wait above which an item is refused.
 func (q *Queue) permittedWait(now time.Time, f *flow, item Item) time.Duration {
 	service := q.classServiceTime(f, item.Priority)
--- a/decision/scheduling/wait.go
+++ b/decision/scheduling/wait.go
@@ -103,24 +103,6 @@
 	return time.Duration(q.expectedServiceTime(f) * float64(time.Second))
 }
 
-// requiredTimeOf returns the service time that must fit before the deadline of an item. Under
-// MostUrgentFirst it follows from the item's priority.
-func (q *Queue) requiredTimeOf(now time.Time, f *flow, item Item) time.Duration {
-	switch {
-	case q.config.AdmitAll:
-		return 0
-	case !q.urgent():
-		return q.requiredTime(now, f)
-	case len(q.running) == 0:
-		return 0
-	}
-	required := q.classServiceTime(f, item.Priority)
-	if class := q.classes[urgencyClass(item.Priority)]; class.measured && q.waitingCount() > q.config.Slots {
-		required += time.Duration(deadlineDeviations * class.deviation * float64(time.Second))
-	}
-	return required
-}
-
 // requiredTime returns the service time that must fit before an item's deadline: the
 // mean and, in a long queue, a multiple of the mean deviation, because a statement
 // that misses its deadline has wasted its slot. For a subject without a recent
