Add urgency across workspaces to the bench

Cause: the bench has no load of several kinds of requests that differ in urgency.

The bench itself was not run.

--- a/loadtool/bench/bench.go
+++ b/loadtool/bench/bench.go
@@ -52,6 +52,7 @@
 	report.Results = append(report.Results, measureOverload(config)...)
 	report.Results = append(report.Results, measureMixedOverload(config)...)
 	report.Results = append(report.Results, measureOutageRecovery(config)...)
+	report.Results = append(report.Results, measureUrgency(config)...)
 	report.Results = append(report.Results, measureSharedLimits(config)...)
 	report.Results = append(report.Results, measureRetryBudget(config)...)
 	report.Results = append(report.Results, measureHomes(config)...)
