--- a/decision/scheduling/shedding.go
+++ b/decision/scheduling/shedding.go
@@ -45,7 +45,8 @@
 	switch permitted := q.permittedWait(now, f, item); {
 	case !now.Add(wait + required).Before(item.Deadline):
 		reason = refusal.DeadlineTooShort
-	case wait <= permitted:
+	case wait <= permitted || item.Transaction:
+		// To refuse a step would discard the work of its transaction.
 		return Refused{}, false
 	}
 	return Refused{
--- a/decision/scheduling/urgency_test.go
+++ b/decision/scheduling/urgency_test.go
@@ -223,6 +223,16 @@
 		Expect(served["a"]).To(BeNumerically("~", 40, 5))
 	})
 
+	It("admits a transaction step whose target is near", func() {
+		// Guards against rolling a transaction back because of a short wait near its target.
+		for range 5 {
+			f.arrive("a", 1, time.Hour, true)
+			f.Next(f.now)
+		}
+		f.target = f.now.Add(2 * service)
+		Expect(f.arrive("b", 1, time.Second, true)).To(Equal(scheduling.Enqueued{}))
+	})
+
 	It("displaces waiting statements of lower urgency that more urgent ones leave no time", func() {
 		// Guards against statements that wait in vain until their time limit.
 		for range 70 {
