Let the urgency specs of a home wait for their requests

Cause: requests of one spec still ran when the next one set the shared variables, which the race detector reports, and their results reached it.

Change: requests keep the home and the channel of their spec, and each spec receives all results.

--- a/engine/endpoint/urgency_test.go
+++ b/engine/endpoint/urgency_test.go
@@ -45,15 +45,19 @@
 		})
 	})
 
+	// run runs a request in the background. It does not use the variables later, which the next
+	// spec sets again.
+	run := func(r *peer.RunRequest) {
+		h, to := home, results
+		go func() { to <- h.Run(ctx, r) }()
+	}
+
 	send := func(step peer.Step, workspace, text string, priority int) {
-		go func() {
-			results <- home.Run(ctx, request(step, text, func(r *peer.RunRequest) {
-				r.Workspace = workspace
-				r.Priority = priority
-				r.ID = text
-				r.Transaction.Number = uint64(priority + 1)
-			}))
-		}()
+		run(request(step, text, func(r *peer.RunRequest) {
+			r.Workspace = workspace
+			r.Priority = priority
+			r.ID = text
+		}))
 	}
 
 	// fill makes statements run in all slots.
@@ -105,6 +109,9 @@
 		Expect(metrics.GetOrRegisterCounter("endpoint.queue.refused.priority2", registry).Count()).To(BeNumerically(">=", 1))
 		Expect(metrics.GetOrRegisterCounter("endpoint.queue.refused.priority0", registry).Count()).To(BeZero())
 		close(fake.holdReads)
+		for range capacity + 2*waiting - 1 {
+			<-results
+		}
 	})
 
 	It("gives the permission to pin a connection to the most urgent transaction", func() {
@@ -113,17 +120,20 @@
 		open := request(peer.StepFirst, "WRITE a 1", one)
 		expectServed(home.Run(ctx, open))
 		for _, priority := range []int{2, 1, 0} {
-			waits := request(peer.StepFirst, fmt.Sprint("WRITE a ", priority), one, func(r *peer.RunRequest) {
+			run(request(peer.StepFirst, fmt.Sprint("WRITE a ", priority), one, func(r *peer.RunRequest) {
 				r.Priority = priority
 				r.Transaction.Number = uint64(10 + priority)
-			})
-			go func() { results <- home.Run(ctx, waits) }()
+			}))
 			Eventually(clock.Subscribers).Should(Equal(3 - priority))
 		}
 		home.RollBackTransaction(open.Transaction)
 		expectServed(<-results)
 		Expect(fake.commands()).To(ContainElement("WRITE a 0"))
 		Expect(fake.commands()).NotTo(ContainElement("WRITE a 2"))
+		clock.Advance(time.Second)
+		for range 2 {
+			expectRefused(<-results, refusal.NotRun, refusal.Overloaded)
+		}
 	})
 
 	It("reports the wait that another statement of the same priority will have", func() {
@@ -144,5 +154,8 @@
 		Expect(expectedWait(0)).To(BeNumerically("<", 50*time.Millisecond))
 		Expect(expectedWait(3)).To(BeNumerically(">", 100*time.Millisecond))
 		close(fake.holdReads)
+		for range capacity + 10 {
+			expectServed(<-results)
+		}
 	})
 })
