Test the order of the statements that wait for a connection

Cause: no test covered that a home gives a free connection to the most urgent statement, and two doc comments did not name the load that they answer.

Change: a spec with eight rounds at the connection limit, and the loads.

--- a/decision/scheduling/urgency.go
+++ b/decision/scheduling/urgency.go
@@ -28,7 +28,8 @@
 
 // MostUrgentFirst serves the items of all subjects in the order of their urgency, for
 // deployments whose kinds of requests differ in urgency and work (8 ms for the most urgent
-// kind, 40 ms for the least urgent). Subjects within their share come first, then items
+// kind, 40 ms for the least urgent). It answers a burst of the least urgent kind of all
+// subjects at a full endpoint, in which urgent items waited behind those of other subjects. Subjects within their share come first, then items
 // that can still meet their target, then those with the more urgent priority, and among
 // equals the subject that is furthest behind its share. Steps of open transactions have the
 // same precedence as under WeightedFair. Items that would miss their target or have
@@ -45,7 +46,8 @@
 }
 
 // NextPermit returns the index of the item that gets a permit which is not a slot, such as the
-// permission to pin a connection to a transaction. Every starvedPermitInterval-th permit goes to
+// permission to pin a connection to a transaction. It answers a burst of less urgent
+// transactions that wait at a full primary before an urgent one. Every starvedPermitInterval-th permit goes to
 // the item that has been starved for longest, if there is one; the others go to the most
 // urgent item. The argument granted is the number of permits so far.
 func NextPermit(now time.Time, granted uint64, items []Item) int {
--- a/engine/endpoint/urgency_test.go
+++ b/engine/endpoint/urgency_test.go
@@ -136,6 +136,38 @@
 		}
 	})
 
+	It("gives a free connection to the most urgent of the statements that wait for it", func() {
+		// Guards against urgent statements that compete for a connection with less urgent ones
+		// while the endpoint is at its connection limit.
+		one := func(r *peer.RunRequest) { r.MaxConnections = 1 }
+		expectLast := func(text string) {
+			GinkgoHelper()
+			Eventually(func() string {
+				commands := fake.commands()
+				return commands[len(commands)-1]
+			}).Should(Equal(text))
+		}
+		// Without an order, chance decides each round.
+		for range 8 {
+			run(request(peer.StepSingle, "READ running", one))
+			Eventually(fake.commands).ShouldNot(BeEmpty())
+			expectLast("READ running")
+			for i, priority := range []int{2, 0} {
+				run(request(peer.StepSingle, fmt.Sprint("READ ", priority), one, func(r *peer.RunRequest) { r.Priority = priority }))
+				Eventually(clock.Subscribers).Should(Equal(i + 1))
+			}
+			for i, next := range []string{"READ 0", "READ 2"} {
+				fake.holdReads <- struct{}{}
+				expectServed(<-results)
+				Eventually(clock.Subscribers).Should(Equal(2 - i))
+				clock.Advance(20 * time.Millisecond)
+				expectLast(next)
+			}
+			fake.holdReads <- struct{}{}
+			expectServed(<-results)
+		}
+	})
+
 	It("reports the wait that another statement of the same priority will have", func() {
 		// Guards against reads that avoid an endpoint where they would not wait, or go to one
 		// where they would.
