Merge urgency across workspaces

Cause: at a full endpoint the least urgent statements of one workspace went before the most urgent ones of another (docs/hard-load.md, part 4).

The queue chooses its next item without removing it, so that the learned limits and the budget of cold endpoints are asked for the item that starts. Reads that are sent elsewhere after an overload use the retry budgets of the entry VM, in place of a second set.

--- a/decision/scheduling/policy.go
+++ b/decision/scheduling/policy.go
@@ -1,7 +1,9 @@
 package scheduling
 
+import "time"
+
 // Policy is the order in which waiting items are served: FirstInFirstOut,
-// RoundRobin or WeightedFair.
+// RoundRobin, WeightedFair or MostUrgentFirst.
 type Policy interface {
 	policy()
 }
@@ -28,6 +30,30 @@
 func (RoundRobin) policy()      {}
 func (WeightedFair) policy()    {}
 
+// choice is the item to start next.
+type choice struct {
+	flow *flow
+	item Item
+	// take removes the item from its flow.
+	take func()
+}
+
+// chooseNext returns the item to start next; false if none waits.
+func (q *Queue) chooseNext(now time.Time) (choice, bool) {
+	if q.urgent() {
+		return q.chooseMostUrgent(now)
+	}
+	f, steps := q.pickNext()
+	if f == nil {
+		return choice{}, false
+	}
+	return choice{
+		flow: f,
+		item: (*f.queue(steps))[0].item,
+		take: func() { f.pop(steps) },
+	}, true
+}
+
 // pickNext returns the flow to serve next, or nil if nothing waits, and whether to
 // serve its transaction steps.
 func (q *Queue) pickNext() (*flow, bool) {
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -83,6 +83,8 @@
 	Target time.Time
 	// Requests is how many requests the endpoint gets for the item; only MayStart uses it.
 	Requests int
+	// Spread, in [0, 1), places the return of the caller after a refusal among others.
+	Spread float64
 }
 
 // Queue orders the statements of one endpoint.
@@ -106,6 +108,18 @@
 	// far, in seconds, as of fairServiceAt.
 	fairService   float64
 	fairServiceAt time.Time
+	// classes holds the service times by priority. It and the following fields are used under
+	// MostUrgentFirst.
+	classes [urgencyClasses]movingAverage
+	// exceptionBalance is the service time, in seconds, that exceptions may take; they wait while
+	// it is negative.
+	exceptionBalance float64
+	// arrivals is the number of items since the last search for items to displace.
+	arrivals int
+	// earliestDeadline is not after the deadline of any waiting item.
+	earliestDeadline time.Time
+	// returns is, by priority, the time until which returns of refused callers are planned.
+	returns [urgencyClasses]time.Time
 }
 
 // runningItem is an item that holds a slot.
@@ -116,6 +130,7 @@
 	chargedTime   time.Duration
 	chargedWeight float64
 	item          Item
+	priority      int
 	// usedSlots is the part of the slots that the item takes.
 	usedSlots float64
 }
@@ -157,6 +172,10 @@
 	q.lastSequence++
 	f.push(item, q.lastSequence)
 	q.waitingItems[item.ID] = item
+	q.arrivals++
+	if q.earliestDeadline.IsZero() || item.Deadline.Before(q.earliestDeadline) {
+		q.earliestDeadline = item.Deadline
+	}
 	return Enqueued{}
 }
 
@@ -174,6 +193,15 @@
 	return q.expectedWait(now, f, Item{Priority: lowestPriority})
 }
 
+// ExpectedWaitFor estimates how long a new statement of the subject would wait if it had the
+// priority and could meet its target.
+func (q *Queue) ExpectedWaitFor(now time.Time, subject string, priority int) time.Duration {
+	return q.expectedWait(now, q.findOrAddFlow(subject), Item{
+		Priority: priority,
+		Deadline: now.Add(math.MaxInt64),
+	})
+}
+
 // Complete releases the slot of an item and records its service time. An id that is
 // not running is ignored.
 func (q *Queue) Complete(now time.Time, id uint64) {
@@ -186,9 +214,11 @@
 	// The flow was charged the expected time at the start; correct the difference.
 	r.flow.startTag += (service - r.chargedTime).Seconds() / r.chargedWeight
 	r.flow.serviceReceived += (service - r.chargedTime).Seconds() / r.chargedWeight
+	r.flow.urgent.correct(r.priority, (service-r.chargedTime).Seconds()/r.chargedWeight)
 	r.flow.serviceTime.add(service)
 	r.flow.lastMeasured = now
 	q.serviceTime.add(service)
+	q.classes[urgencyClass(r.priority)].add(service)
 }
 
 // ReleaseUnmeasured releases the slot of an item that the endpoint did not respond
@@ -205,33 +235,43 @@
 // Call it until it returns Idle.
 func (q *Queue) Next(now time.Time) Decision {
 	if item, ok := q.removeExpired(now); ok {
-		return Expired{Item: item}
+		return Expired{
+			Item:       item,
+			RetryAfter: q.retryAfter(now, item, 0),
+		}
+	}
+	if displaced, ok := q.displace(now); ok {
+		return displaced
 	}
 	if len(q.running) >= q.config.Slots {
 		return Idle{}
 	}
 	q.updateFairService(now)
-	f, steps := q.pickNext()
-	if f == nil || !q.fits(f, steps) {
+	minTag := q.minStartTag()
+	next, ok := q.chooseNext(now)
+	if !ok || !q.fits(next.item) {
 		return Idle{}
 	}
-	if q.config.MayStart != nil && !q.config.MayStart((*f.queue(steps))[0].item) {
+	if q.config.MayStart != nil && !q.config.MayStart(next.item) {
 		return Idle{}
 	}
-	q.virtualTime = max(q.virtualTime, q.minStartTag())
-	item := f.pop(steps)
+	f, item := next.flow, next.item
+	next.take()
+	q.virtualTime = max(q.virtualTime, minTag)
 	delete(q.waitingItems, item.ID)
 	r := runningItem{
 		flow:          f,
 		started:       now,
-		chargedTime:   time.Duration(q.expectedServiceTime(f) * float64(time.Second)),
+		chargedTime:   q.chargedTime(f, item),
 		chargedWeight: q.activeWeights().effective(f),
 		item:          item,
 		usedSlots:     q.cost(item),
+		priority:      item.Priority,
 	}
 	q.usedSlots += r.usedSlots
 	f.startTag += r.chargedTime.Seconds() / r.chargedWeight
 	f.serviceReceived = max(f.serviceReceived, q.fairService) + r.chargedTime.Seconds()/r.chargedWeight
+	f.urgent.charge(q.fairService, item.Priority, r.chargedTime.Seconds()/r.chargedWeight)
 	f.runningCount++
 	q.running[item.ID] = r
 	return Run{Item: item}
@@ -267,6 +307,9 @@
 // there is one. It checks whole queues because an item can expire while more urgent
 // items are ahead of it.
 func (q *Queue) removeExpired(now time.Time) (Item, bool) {
+	if q.urgent() {
+		return q.removeUrgentExpired(now)
+	}
 	for _, f := range q.flows {
 		required := q.requiredTime(now, f)
 		if q.config.AdmitAll {
@@ -324,6 +367,9 @@
 
 // checkAdmission returns a refusal and true if the item must not be accepted.
 func (q *Queue) checkAdmission(now time.Time, f *flow, item Item) (Refused, bool) {
+	if q.urgent() {
+		return q.checkUrgentAdmission(now, f, item)
+	}
 	wait := q.expectedWait(now, f, item)
 	if !now.Add(wait + q.requiredTime(now, f)).Before(item.Deadline) {
 		return Refused{Reason: refusal.DeadlineTooShort}, true
--- a/decision/scheduling/slots.go
+++ b/decision/scheduling/slots.go
@@ -27,12 +27,11 @@
 	return q.readCost
 }
 
-// fits reports whether the next item of a flow fits into the slots beside those that run. An item
-// always fits if none runs.
-func (q *Queue) fits(f *flow, steps bool) bool {
+// fits reports whether an item fits into the slots beside those that run. It always does if none
+// runs.
+func (q *Queue) fits(next Item) bool {
 	if len(q.running) == 0 {
 		return true
 	}
-	next := (*f.queue(steps))[0].item
 	return q.usedSlots+q.cost(next) <= float64(q.config.Slots)+costTolerance
 }
--- a/decision/scheduling/wait.go
+++ b/decision/scheduling/wait.go
@@ -19,6 +19,8 @@
 		for _, other := range q.flows {
 			seconds += q.expectedServiceTime(other) * float64(min(other.waitingCount(), f.waitingCount()+1))
 		}
+	case MostUrgentFirst:
+		seconds += q.urgentWorkAhead(now, f, item)
 	default:
 		seconds += q.workAhead(f, item)
 	}
@@ -93,6 +95,14 @@
 	return max(q.serviceTime.mean, minServiceTime.Seconds())
 }
 
+// chargedTime returns the service time for which a flow is charged when the item starts.
+func (q *Queue) chargedTime(f *flow, item Item) time.Duration {
+	if q.urgent() {
+		return q.classServiceTime(item.Priority)
+	}
+	return time.Duration(q.expectedServiceTime(f) * float64(time.Second))
+}
+
 // requiredTime returns the service time that must fit before an item's deadline: the
 // mean and, in a long queue, a multiple of the mean deviation, because a statement
 // that misses its deadline has wasted its slot. For a subject without a recent
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -168,7 +168,7 @@
 		DataCentre: v.Self().DataCentre,
 		Region:     v.Self().Region,
 	}
-	candidates := d.candidates()
+	candidates := d.session.manager.applyClassWaits(d.request.Priority, d.candidates())
 	id, ok := placement.Choose(from, required, candidates)
 	d.request.Alternatives = len(candidates) > 1
 	if !ok {
@@ -193,6 +193,7 @@
 		ProvedPrimary: result.ProvedPrimary,
 		Ejected:       result.Report.Ejected,
 	}
+	d.session.manager.recordClassWait(d.request, result)
 	if result.Refused == nil {
 		outcome.Duration = d.session.manager.config.Timer.Now().Sub(sentAt)
 		v.EndStatement(target, outcome)
@@ -221,7 +222,7 @@
 		// The home learned of the evacuation first.
 		final = !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		final = d.needsPrimary() || (len(d.excluded) > 0 && !isBudgetRefusal(result))
+		final = d.needsPrimary() || (len(d.excluded) > 0 && !isBudgetRefusal(result)) || !d.takeOverloadRetry()
 	case refusal.NotReady:
 		final = !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
@@ -263,6 +264,7 @@
 	for _, home := range d.homes(target) {
 		d.request.Endpoint = target.Key.ID
 		d.request.Timeout = d.remaining()
+		d.request.Target = d.session.remainingTarget(d.auth, d.started)
 		if d.request.Timeout < minSendTimeout || ctx.Err() != nil {
 			break
 		}
--- a/engine/caller/fakes_test.go
+++ b/engine/caller/fakes_test.go
@@ -88,6 +88,10 @@
 	return nil
 }
 
+func (f *fakeFleet) AdmitWithPriority(ctx context.Context, workspace string, _ int) error {
+	return f.Admit(ctx, workspace)
+}
+
 func (f *fakeFleet) Refund(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -180,6 +184,11 @@
 const evacuationLimit = evacuation.Margin + 150*time.Millisecond
 
 func newFixture() *fixture {
+	return newFixtureWith(func(*caller.Config) {})
+}
+
+// newFixtureWith returns a fixture with changed settings.
+func newFixtureWith(change func(*caller.Config)) *fixture {
 	f := &fixture{fleet: &fakeFleet{}}
 	self := catalog.VM{
 		Name:       "self",
@@ -199,7 +208,7 @@
 		Unreachable:     func(string) bool { return false },
 		DrainLimit:      drainLimit,
 	})
-	f.sessions = caller.New(caller.Config{
+	config := caller.Config{
 		View:     f.view,
 		Home:     f.fleet,
 		Peers:    f.fleet,
@@ -208,7 +217,9 @@
 		Timer:    timer.NewSystem(),
 		Log:      logr.Discard(),
 		Registry: metrics.NewRegistry(),
-	})
+	}
+	change(&config)
+	f.sessions = caller.New(config)
 	return f
 }
 
--- a/engine/caller/run.go
+++ b/engine/caller/run.go
@@ -91,6 +91,7 @@
 	run.Endpoint = t.endpoint.Key.ID
 	run.Transaction = t.key
 	run.Timeout = statementTimeout(t.auth.route)
+	run.Target = s.remainingTarget(t.auth, started)
 	s.lastAttempt = attempt{
 		endpoint: t.endpoint.Key.ID,
 		home:     t.home.Name,
@@ -203,7 +204,7 @@
 	if auth.route.Public {
 		return nil
 	}
-	return s.config.Limiter.Admit(ctx, auth.workspace)
+	return s.config.Limiter.AdmitWithPriority(ctx, auth.workspace, auth.route.Priority)
 }
 
 // refund returns the rate limit token of an operation that was refused before any part
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -40,9 +40,10 @@
 
 // Limiter enforces the rate limits of workspaces.
 type Limiter interface {
-	// Admit takes a token of the workspace's limit. If there is none, it returns a
-	// *refusal.Error with the outcome NotRun.
-	Admit(ctx context.Context, workspace string) error
+	// AdmitWithPriority takes a token of the workspace's limit for a request of a route with the
+	// priority; 0 is the most urgent. If there is none, it returns a *refusal.Error with the
+	// outcome NotRun.
+	AdmitWithPriority(ctx context.Context, workspace string, priority int) error
 	// Refund returns the token of an operation that was refused before it ran.
 	Refund(workspace string)
 }
@@ -59,6 +60,9 @@
 	Timer    timer.Service
 	Log      logr.Logger
 	Registry metrics.Registry
+
+	// UrgencyAcrossWorkspaces orders the statements of all workspaces by urgency.
+	UrgencyAcrossWorkspaces bool
 }
 
 // SessionManager opens sessions and holds what they share.
@@ -68,6 +72,7 @@
 	sampleRequests   sampleRequests
 	// lastTransaction is the number of the newest transaction of this process.
 	lastTransaction atomic.Uint64
+	classWaits      classWaits
 	// ready is set once this VM has a configuration and has joined the fleet.
 	ready atomic.Bool
 	// stopped is set by StopWork.
@@ -114,6 +119,7 @@
 type transaction struct {
 	readOnly bool
 	failed   bool
+	began    time.Time
 	// opened is set once the transaction is open at an endpoint.
 	opened bool
 	// ended is the refusal of the next request of a transaction that the proxy rolled back;
@@ -309,6 +315,7 @@
 	s.transaction = &transaction{
 		readOnly: b.ReadOnly,
 		auth:     auth,
+		began:    s.manager.config.Timer.Now(),
 	}
 	return s.respond(statement.Response{})
 }
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -56,6 +56,8 @@
 	ReportFailing func(catalog.Endpoint)
 	// Places tells where requests may be sent; nil if there are no restrictions.
 	Places Places
+	// UrgencyAcrossWorkspaces orders the statements of all workspaces by urgency.
+	UrgencyAcrossWorkspaces bool
 	// Metrics is set by New.
 	Metrics homeMetrics
 }
@@ -224,7 +226,7 @@
 	if err != nil {
 		result = errorResult(err)
 	}
-	result.ExpectedWait = client.expectedWait(request.Workspace)
+	result.ExpectedWait = client.expectedWait(request)
 	return result
 }
 
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -39,7 +39,7 @@
 	if refused := client.admitRead(request); refused != nil {
 		return refusedResult(refused)
 	}
-	if err := client.pin(ctx, deadline); err != nil {
+	if err := client.pin(ctx, request, deadline); err != nil {
 		return errorResult(err)
 	}
 	t := &transaction{
@@ -60,7 +60,7 @@
 		client.unpin()
 		return errorResult(err)
 	}
-	result.ExpectedWait = client.expectedWait(request.Workspace)
+	result.ExpectedWait = client.expectedWait(request)
 	if result.Refused != nil || t.ended {
 		if t.connection != nil {
 			client.put(t.connection, !t.ended && client.rollBackOpen(t.connection))
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -170,10 +170,11 @@
 			Overage: config.ColdOverage,
 			Slack:   config.ColdSlack,
 		},
-		CheckFirstHome:     v.checkFirstHome,
-		ReportUnresponsive: func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
-		ReportFailing:      func(target catalog.Endpoint) { v.failover.ReportFailing(target) },
-		Places:             v.view,
+		CheckFirstHome:          v.checkFirstHome,
+		ReportUnresponsive:      func(target catalog.Endpoint) { v.failover.ReportUnreachable(target) },
+		ReportFailing:           func(target catalog.Endpoint) { v.failover.ReportFailing(target) },
+		Places:                  v.view,
+		UrgencyAcrossWorkspaces: config.UrgencyAcrossWorkspaces,
 	})
 	v.newDependentComponents()
 	return v, nil
@@ -194,6 +195,8 @@
 		UnregisteredFleetSize: v.unregisteredFleetSize,
 		Start:                 v.store.Start,
 		MayUseShares:          v.store.MayUseShares,
+
+		UrgencyAcrossWorkspaces: c.UrgencyAcrossWorkspaces,
 	})
 	v.gossip = gossip.New(gossip.Config{
 		View:        v.view,
@@ -224,6 +227,8 @@
 		Timer:    c.Timer,
 		Log:      c.Log.WithName("caller"),
 		Registry: c.Registry,
+
+		UrgencyAcrossWorkspaces: c.UrgencyAcrossWorkspaces,
 	})
 }
 
