--- a/Makefile
+++ b/Makefile
@@ -54,8 +54,9 @@
 # are not cached (-count=1), because the test cache does not track the programs that they
 # start. CI skips the specs of KNOWN-RED.txt with FAULTS_FLAGS.
 test:
-	go test -timeout 5m $$(go list $(PACKAGES) | grep -v '/loadtool/faults/\|/platform/soak')
+	go test -timeout 5m $$(go list $(PACKAGES) | grep -v '/loadtool/faults/\|/platform/callerload\|/platform/soak')
 	go test -count=1 -timeout 9m -p 1 ./loadtool/faults/... $(FAULTS_FLAGS)
+	go test -count=1 -timeout 4m ./platform/callerload
 	go test -count=1 -timeout 5m ./platform/soak -soak.seeds=2 -soak.parallel=2
 
 tidy:
