--- a/engine/endpoint/home_test.go
+++ b/engine/endpoint/home_test.go
@@ -227,6 +227,26 @@
 			"discard", "prepare s2 q1", "EXECUTE s2 a")
 	})
 
+	// Guards against connections that keep the long values and prepared statements of many sessions.
+	It("are not kept if they are long", func() {
+		long := func(name string) func(*peer.RunRequest) {
+			return func(r *peer.RunRequest) {
+				r.Prepared = &statement.Prepared{Shape: name + strings.Repeat("x", 200<<10)}
+			}
+		}
+		expectServed(home.Run(ctx, request(peer.StepSingle, "a", long("a"))))
+		Expect(fake.connections()).To(Equal(1))
+		expectServed(home.Run(ctx, request(peer.StepSingle, "a", long("b"))))
+		Expect(fake.commands()).To(ContainElement("discard"), "more than maxPreparedBytes")
+		expectServed(home.Run(ctx, request(peer.StepSingle, "READ a", with(map[string]string{"tz": strings.Repeat("x", 300<<10)}))))
+		Expect(fake.connections()).To(BeZero(), "more than maxSettingsBytes")
+		expectServed(home.Run(ctx, request(peer.StepFirst, "a", long("a"))))
+		expectServed(home.Run(ctx, request(peer.StepNext, "a", long("b"))))
+		expectServed(home.Run(ctx, request(peer.StepNext, "a", long("a"))))
+		expectServed(home.Run(ctx, request(peer.StepCommit, "COMMIT")))
+		Expect(fake.connections()).To(BeZero(), "a name was forgotten inside of a transaction")
+	})
+
 	// failSetup makes the endpoint fail the first commands of the given kinds.
 	failSetup := func(times int, failing ...string) {
 		fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -21,6 +21,11 @@
 	// maxPreparedNames is the number of prepared statements after which a connection is
 	// cleared before its next use outside of a transaction.
 	maxPreparedNames = 128
+	// maxPreparedBytes is the length of the prepared statements after which a connection is
+	// cleared, and maxSettingsBytes that of all its values and prepared statements above which it
+	// is not kept. Callers that use few statements of some hundred bytes do not reach them.
+	maxPreparedBytes = 128 << 10
+	maxSettingsBytes = 256 << 10
 	// dialRetryDelay is the time after a failed dial in which no other is tried, so that
 	// queued statements do not each run into the timeout of an endpoint that is gone.
 	dialRetryDelay = 100 * time.Millisecond
@@ -41,9 +46,11 @@
 // that are set on it.
 type pooledConnection struct {
 	Connection
-	workspace      string
-	values         map[string]string
-	preparedNames  map[statement.Prepared]string
+	workspace     string
+	values        map[string]string
+	preparedNames map[statement.Prepared]string
+	// preparedBytes is the length of the prepared statements.
+	preparedBytes  int
 	lastNameNumber int
 	// state is the transaction state that the endpoint reported last.
 	state statement.State
@@ -81,10 +88,15 @@
 // connection. The commands count as done from now on; Run records if one of them fails.
 func (p *pooledConnection) setupCommands(values map[string]string, prepared *statement.Prepared, inTransaction bool) ([]Command, string) {
 	var commands []Command
-	if !inTransaction && (p.hasOtherValues(values) || len(p.preparedNames) >= maxPreparedNames) {
+	if !inTransaction && p.needsDiscard(values) {
 		commands = append(commands, Discard{})
 		p.values = nil
-		p.preparedNames = nil
+		p.preparedNames, p.preparedBytes = nil, 0
+	}
+	if inTransaction && p.preparedBytes > maxPreparedBytes {
+		// The endpoint keeps the names, which are not used again.
+		p.preparedNames, p.preparedBytes = nil, 0
+		p.setupFailed = true
 	}
 	for name, value := range values {
 		if held, ok := p.values[name]; ok && held == value {
@@ -110,6 +122,7 @@
 		p.lastNameNumber++
 		name = "s" + strconv.Itoa(p.lastNameNumber)
 		p.preparedNames[*prepared] = name
+		p.preparedBytes += len(prepared.Shape)
 		commands = append(commands, Prepare{
 			Name:     name,
 			Prepared: *prepared,
@@ -122,7 +135,7 @@
 // transaction.
 func (p *pooledConnection) setupCount(values map[string]string, prepared *statement.Prepared) int {
 	count := 0
-	discard := p.hasOtherValues(values) || len(p.preparedNames) >= maxPreparedNames
+	discard := p.needsDiscard(values)
 	if discard {
 		count++
 	}
@@ -139,6 +152,21 @@
 	return count
 }
 
+// needsDiscard reports whether the connection has to be cleared before a statement with the values
+// of a session.
+func (p *pooledConnection) needsDiscard(values map[string]string) bool {
+	return p.hasOtherValues(values) || len(p.preparedNames) >= maxPreparedNames || p.preparedBytes > maxPreparedBytes
+}
+
+// settingsBytes returns the length of the values and prepared statements.
+func (p *pooledConnection) settingsBytes() int {
+	length := p.preparedBytes
+	for name, value := range p.values {
+		length += len(name) + len(value)
+	}
+	return length
+}
+
 // hasOtherValues reports whether a value is set on the connection that the session has
 // not set.
 func (p *pooledConnection) hasOtherValues(values map[string]string) bool {
@@ -284,7 +312,7 @@
 	c.idleSince = e.config.Timer.Now()
 	e.mu.Lock()
 	delete(e.inUse, c)
-	keep := reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit
+	keep := reusable && !c.setupFailed && c.state == statement.Idle && e.open <= e.limit && c.settingsBytes() <= maxSettingsBytes
 	if keep {
 		e.idle = append(e.idle, c)
 	} else {
