Limit the messages and connections of other VMs

Cause: gob accepts messages of up to 1 GiB. Statements that other VMs forward and their answers were not counted.

Change: messages above a limit end their connection before they are decoded. Forwarded statements and answers take memory from the budget, and are refused without it. The number of connections is limited. The codec of the server is that of net/rpc, except that it returns the memory of an answer after it was sent; the messages are the same.

--- a/engine/peer/clients.go
+++ b/engine/peer/clients.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/timer"
 )
@@ -53,6 +54,8 @@
 	Dial  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Timer timer.Service
 	Log   logr.Logger
+	// Budget has the limit of messages; nil for the default limit.
+	Budget *budget.Budget
 	// OnResponse is called for each response of a VM; may be nil.
 	OnResponse func(vm string)
 }
@@ -218,8 +221,9 @@
 	conn.failures = 0
 	conn.unresponsive.Store(false)
 	conn.client = rpc.NewClient(&deadlineConn{
-		Conn:  connection,
-		timer: c.config.Timer,
+		Conn:   connection,
+		timer:  c.config.Timer,
+		frames: &frameLimiter{limit: c.config.Budget.Limits().PeerMessageBytes},
 	})
 	return conn.client, nil
 }
@@ -269,6 +273,19 @@
 type deadlineConn struct {
 	net.Conn
 	timer timer.Service
+	// frames limits the messages of the peer; nil for no limit.
+	frames *frameLimiter
+}
+
+// Read reads data and checks the lengths of the messages in it.
+func (c *deadlineConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.frames != nil {
+		if tooLong := c.frames.add(data[:n]); tooLong != nil {
+			return 0, tooLong
+		}
+	}
+	return n, err
 }
 
 // Write writes data and sets a deadline for it.
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -127,6 +127,9 @@
 	ExpectedWait time.Duration
 	// Report is what the home knows about the endpoint.
 	Report EndpointReport
+
+	// release returns the memory of the response after it was sent; nil for none.
+	release func()
 }
 
 // EndpointReport is what the home of an endpoint tells the VMs that send statements to it.
--- a/engine/peer/server.go
+++ b/engine/peer/server.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/timer"
 )
@@ -54,13 +56,17 @@
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Handler Handler
-	Timer   timer.Service
-	Log     logr.Logger
+	// Budget limits the connections and the memory of statements and responses; nil for no limits.
+	Budget *budget.Budget
+	Timer  timer.Service
+	Log    logr.Logger
 }
 
 // Server serves the calls of other VMs.
 type Server struct {
 	config ServerConfig
+	// connections is the number of open connections.
+	connections atomic.Int64
 }
 
 // NewServer returns a Server that does not listen yet.
@@ -82,6 +88,13 @@
 			}
 			continue
 		}
+		if limit := s.config.Budget.Limits().PeerConnections; limit > 0 && s.connections.Load() >= int64(limit) {
+			s.config.Budget.Count("peerConnectionRefused")
+			// The VM connects again after its backoff.
+			_ = connection.Close()
+			continue
+		}
+		s.connections.Add(1)
 		go s.serveConnection(ctx, connection)
 	}
 }
@@ -90,11 +103,13 @@
 // back the transactions that were begun on it and are still open.
 func (s *Server) serveConnection(ctx context.Context, connection net.Conn) {
 	defer guard.Recover(s.config.Log, "connection of a VM")
+	defer s.connections.Add(-1)
 	service := &connectionService{
 		ctx:              ctx,
 		handler:          s.config.Handler,
 		timer:            s.config.Timer,
 		log:              s.config.Log,
+		budget:           s.config.Budget,
 		openTransactions: map[TransactionKey]struct{}{},
 	}
 	server := rpc.NewServer()
@@ -102,10 +117,11 @@
 		s.config.Log.Error(err, "Could not register the service for calls between VMs.")
 		return
 	}
-	server.ServeConn(&deadlineConn{
-		Conn:  connection,
-		timer: s.config.Timer,
-	})
+	server.ServeCodec(newServerCodec(&deadlineConn{
+		Conn:   connection,
+		timer:  s.config.Timer,
+		frames: &frameLimiter{limit: s.config.Budget.Limits().PeerMessageBytes},
+	}))
 	for _, key := range service.disconnect() {
 		s.config.Handler.RollBackTransaction(key)
 	}
@@ -120,6 +136,7 @@
 	handler Handler
 	timer   timer.Service
 	log     logr.Logger
+	budget  *budget.Budget
 
 	delays           delays
 	mu               sync.Mutex
@@ -139,12 +156,19 @@
 		reply.Refused = refusal.NewNotRun(refusal.QueueTimeout, "the request arrived after its VM had stopped waiting for it")
 		return nil
 	}
+	account, refused := s.holdRequest(request)
+	if refused != nil {
+		reply.Refused = refused
+		return nil
+	}
+	defer account.Close()
 	if request.Step == StepFirst {
 		s.mu.Lock()
 		s.openTransactions[request.Transaction] = struct{}{}
 		s.mu.Unlock()
 	}
 	*reply = *s.handler.Run(s.ctx, request)
+	s.holdResponse(request, reply)
 	s.mu.Lock()
 	switch {
 	case request.Step == StepCommit || request.Step == StepRollback:
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthdock.dev/decision/limits"
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/engine/caller"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
@@ -66,6 +67,8 @@
 	UrgencyAcrossWorkspaces bool
 	// Size is what this VM can carry.
 	Size catalog.VMSize
+	// Budget limits what callers, endpoints and VMs make this process hold; nil for no limits.
+	Budget *budget.Budget
 	// MaxDescriptors and MemoryMiB are the limits of the process; 0 if they are not known.
 	MaxDescriptors      int
 	MemoryMiB           int64
@@ -122,6 +125,7 @@
 	v.grace.Store(int64(config.Grace))
 	v.clients = peer.NewClients(peer.ClientConfig{
 		Dial:       config.DialVM,
+		Budget:     config.Budget,
 		Timer:      config.Timer,
 		Log:        config.Log.WithName("peer"),
 		OnResponse: func(vm string) { v.view.RecordContact(vm) },
@@ -236,6 +240,7 @@
 	defer deregister()
 	server := peer.NewServer(peer.ServerConfig{
 		Handler: handler{vm: v},
+		Budget:  v.config.Budget,
 		Timer:   v.config.Timer,
 		Log:     v.config.Log.WithName("peer"),
 	})
