Limit the memory and the number of callers' connections

Cause: callers made a process hold messages, answers, values, prepared statements, keys and connections without a bound.

Change: a line of more than 4 KiB is read on only with memory of the budget, which also covers its copies while the request runs. Answers are sent in parts, with a time limit for each part and for the whole, and are refused without memory. Values and prepared statements are limited by number and length. Beyond the number of connections another one is closed or the new one refused. The time of a message is limited, and the kernel's buffers of a connection are 64 KiB. A connection that holds much without progress is closed if others wait.

--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -17,6 +17,7 @@
 
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
@@ -88,6 +89,10 @@
 
 	values   map[string]string
 	prepared map[string]statement.Prepared
+	// account holds the memory of the session, of which stateBytes are for its texts. It is nil
+	// if the memory is not limited.
+	account    *budget.Account
+	stateBytes int64
 	// position is the log position that covers each commit acknowledged to this session.
 	position    logpos.Position
 	transaction *transaction
@@ -243,20 +248,11 @@
 	case statement.Execute:
 		return s.execute(ctx, request, st)
 	case statement.Set:
-		if s.values == nil {
-			s.values = map[string]string{}
-		}
-		s.values[st.Name] = st.Value
-		return s.respond(statement.Response{})
+		return s.set(st)
 	case statement.Prepare:
-		if s.prepared == nil {
-			s.prepared = map[string]statement.Prepared{}
-		}
-		s.prepared[st.Name] = st.Prepared
-		return s.respond(statement.Response{})
+		return s.prepare(st)
 	case statement.Deallocate:
-		delete(s.prepared, st.Name)
-		return s.respond(statement.Response{})
+		return s.deallocate(st.Name)
 	case statement.Malformed:
 		return s.respondRefused(refusal.NewNotRun(refusal.InvalidRequest, st.Problem))
 	default:
