Leave descriptors for the VMs of the largest fleet

Cause: with 3,010 descriptors the limit for incoming connections of VMs was 351. A fleet of 295 VMs has 294 of them, and for 3 s twice as many after a loss of power.

Change: callers have five eighths of the descriptors and incoming connections of VMs a quarter.

Result: the tests of engine/budget pass.

--- a/engine/budget/limits.go
+++ b/engine/budget/limits.go
@@ -37,12 +37,12 @@
 	memoryDivisor, memoryShare = 100, 35
 	// fileDescriptors is the number of descriptors that the platform reserves for files.
 	fileDescriptors = 200
-	// connectionQuarters is the part of the other descriptors that callers may use, in quarters.
-	// The rest is for endpoints, VMs, the store and readiness checks.
-	connectionQuarters = 3
-	// peerDivisor gives the part of the descriptors for incoming connections of VMs. With 3,010
-	// descriptors it is 351, and a fleet has up to 140 VMs.
-	peerDivisor = 8
+	// connectionEighths and peerEighths are the parts of the other descriptors that callers and
+	// incoming connections of VMs may use. The rest is for connections to endpoints, VMs and the
+	// store, and for readiness checks. With 3,010 descriptors VMs have 702: twice the largest
+	// fleet (295 VMs), because after a loss of power the connections of the processes before are
+	// there for 3 s.
+	connectionEighths, peerEighths, eighths = 5, 2, 8
 	// minPeerConnections is enough for small deployments whose limit is not known or low.
 	minPeerConnections = 32
 
@@ -79,7 +79,7 @@
 	setDefault(&l.MemoryBytes, memoryMiB<<20*memoryShare/memoryDivisor)
 	connections := 0
 	if descriptors > 0 {
-		connections = max((descriptors-fileDescriptors)*connectionQuarters/4, 1)
+		connections = max((descriptors-fileDescriptors)*connectionEighths/eighths, 1)
 	}
 	if l.MemoryBytes > 0 {
 		// See decision/memory for the parts of the budget.
@@ -90,7 +90,7 @@
 	}
 	setDefault(&l.Connections, connections)
 	if descriptors > 0 {
-		setDefault(&l.PeerConnections, max((descriptors-fileDescriptors)/peerDivisor, minPeerConnections))
+		setDefault(&l.PeerConnections, max((descriptors-fileDescriptors)*peerEighths/eighths, minPeerConnections))
 	}
 	setDefault(&l.MessageTime, defaultMessageTime)
 	setDefault(&l.WriteStall, defaultWriteStall)
