--- a/engine/peer/clients.go
+++ b/engine/peer/clients.go
@@ -220,11 +220,7 @@
 	}
 	conn.failures = 0
 	conn.unresponsive.Store(false)
-	conn.client = rpc.NewClient(&deadlineConn{
-		Conn:   connection,
-		timer:  c.config.Timer,
-		frames: &frameLimiter{limit: c.config.Budget.Limits().PeerMessageBytes},
-	})
+	conn.client = rpc.NewClient(newDeadlineConn(connection, c.config.Timer, c.config.Budget))
 	return conn.client, nil
 }
 
@@ -272,18 +268,27 @@
 // duration of writeTimeout.
 type deadlineConn struct {
 	net.Conn
-	timer timer.Service
-	// frames limits the messages of the peer; nil for no limit.
-	frames *frameLimiter
+	timer  timer.Service
+	budget *budget.Budget
+	// frames limits the messages of the peer.
+	frames frameLimiter
+}
+
+func newDeadlineConn(conn net.Conn, service timer.Service, limits *budget.Budget) *deadlineConn {
+	return &deadlineConn{
+		Conn:   conn,
+		timer:  service,
+		budget: limits,
+		frames: frameLimiter{limit: limits.Limits().PeerMessageBytes},
+	}
 }
 
 // Read reads data and checks the lengths of the messages in it.
 func (c *deadlineConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if c.frames != nil {
-		if tooLong := c.frames.add(data[:n]); tooLong != nil {
-			return 0, tooLong
-		}
+	if tooLong := c.frames.add(data[:n]); tooLong != nil {
+		c.budget.Count("peerMessageTooLong")
+		return 0, tooLong
 	}
 	return n, err
 }
--- a/engine/peer/server.go
+++ b/engine/peer/server.go
@@ -117,11 +117,7 @@
 		s.config.Log.Error(err, "Could not register the service for calls between VMs.")
 		return
 	}
-	server.ServeCodec(newServerCodec(&deadlineConn{
-		Conn:   connection,
-		timer:  s.config.Timer,
-		frames: &frameLimiter{limit: s.config.Budget.Limits().PeerMessageBytes},
-	}))
+	server.ServeCodec(newServerCodec(newDeadlineConn(connection, s.config.Timer, s.config.Budget)))
 	for _, key := range service.disconnect() {
 		s.config.Handler.RollBackTransaction(key)
 	}
