--- a/loadtool/harness/deployment.go
+++ b/loadtool/harness/deployment.go
@@ -35,6 +35,8 @@
 	Subnet byte
 	// DisablePeerTLS disables TLS between the proxies, so that a tap can read their messages.
 	DisablePeerTLS bool
+	// VMSettings are further lines of the settings of each VM.
+	VMSettings string
 	// Tap, if not nil, returns the tap of the relay in front of a host.
 	Tap   func(host string) relay.Tap
 	Timer timer.Service
--- a/loadtool/harness/vm.go
+++ b/loadtool/harness/vm.go
@@ -110,8 +110,7 @@
 		yamlField("platformAddress", d.platform.advertise),
 		yamlField("sessionKeyFile", d.sessionKeyFile()),
 		yamlField("logLevel", "info"),
-		"seedPeers:",
-	)
+	) + d.config.VMSettings + "seedPeers:\n"
 	for _, other := range d.VMs {
 		if other != v {
 			text += fmt.Sprintf("  - %q\n", other.peerAddress.advertise.String())
