Limit what callers of the own interface make a VM hold

Cause: 400 requests of 1 MB at once took a VM to 911 MiB, and messages that stop partway to 510 MiB. The libraries had their defaults: headers of 1 MiB, 250 streams, 1 MiB of unread data for each connection, no limit for the time of a body, idle connections and unread responses.

With memoryMiB and maxDescriptors in the settings, which are optional, request bodies of more than 4 KiB and rows of responses that are sent as a whole take memory from engine/budget, and connections are limited. The read time limit of the library is ended after the body, because over HTTP/1 it would cancel requests that still run.

--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -24,6 +24,7 @@
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/decision/session"
 	"amaranthdock.dev/declaration"
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/timer"
 )
@@ -77,6 +78,8 @@
 // Config configures a Caller. Log, Metrics, MaxRequestBytes and RetryBudget are optional;
 // without a RetryBudget, the number of retries is not limited.
 type Config struct {
+	// Budget limits the memory of requests and responses; nil for no limit.
+	Budget          *budget.Budget
 	Configuration   Configuration
 	Dial            func(address netip.AddrPort) peerv1connect.PeerServiceClient
 	Directory       Directory
@@ -145,7 +148,9 @@
 		defer c.inFlight.Begin()()
 		started := c.config.Timer.Now()
 		defer func() { c.requestDuration.Update(c.config.Timer.Now().Sub(started)) }()
-		if err := c.readBody(request); err != nil {
+		held := &requestMemory{}
+		defer held.close()
+		if err := c.readBody(response, request, held); err != nil {
 			// The handler responds to a request of an unknown protocol.
 			if errorWriter.IsSupported(request) {
 				_ = errorWriter.Write(response, request, c.callerError(err, "", c.configurationVersion()))
@@ -157,7 +162,8 @@
 			ResponseWriter: response,
 			methodReached:  &methodReached,
 		}
-		handler.ServeHTTP(errorFilter, request.WithContext(withMethodReached(request.Context(), &methodReached)))
+		ctx := context.WithValue(withMethodReached(request.Context(), &methodReached), requestMemoryKey{}, held)
+		handler.ServeHTTP(errorFilter, request.WithContext(ctx))
 		if refused := errorFilter.refusal(); refused != nil {
 			_ = errorWriter.Write(response, request, c.callerError(refused, "", c.configurationVersion()))
 		}
@@ -169,9 +175,15 @@
 
 // readBody reads and decompresses the body before the handler does, so that a request
 // that is too large gets a refusal with a Refusal detail.
-func (c *Caller) readBody(request *http.Request) error {
+func (c *Caller) readBody(response http.ResponseWriter, request *http.Request, held *requestMemory) error {
 	limit := int64(c.config.MaxRequestBytes + envelopeBytes)
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	body, err := c.readLimited(request, limit, held)
+	// The ReadTimeout of the server is for the body only. Otherwise it would end requests over
+	// HTTP/1 that are still running then. Without a server, as in tests, there is none.
+	_ = http.NewResponseController(response).SetReadDeadline(time.Time{})
+	if refused, ok := refusal.As(err); ok {
+		return refused
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		return refusal.NewNotRun(refusal.InvalidRequest, "the request body could not be read")
 	}
--- a/proxy/caller/statements.go
+++ b/proxy/caller/statements.go
@@ -22,10 +22,7 @@
 		return nil, c.refuseRequest(r, err)
 	}
 	var rows []*callerv1.Row
-	response, err := c.executeStatement(ctx, r, execute, func(more []*callerv1.Row) error {
-		rows = append(rows, more...)
-		return nil
-	})
+	response, err := c.executeStatement(ctx, r, execute, c.collectRows(ctx, r, &rows))
 	if err != nil {
 		return nil, c.refuseRequest(r, err)
 	}
--- a/proxy/caller/transactions.go
+++ b/proxy/caller/transactions.go
@@ -129,10 +129,7 @@
 	forward.Access = execute.GetAccess()
 	forward.Statement = execute.GetStatement()
 	var rows []*callerv1.Row
-	result := c.sendTransactionStep(ctx, r, handle, forward, func(more []*callerv1.Row) error {
-		rows = append(rows, more...)
-		return nil
-	})
+	result := c.sendTransactionStep(ctx, r, handle, forward, c.collectRows(ctx, r, &rows))
 	if refused := peer.DecodeRefusal(result); refused != nil {
 		return nil, c.refuseRequest(r, refused)
 	}
--- a/proxy/components.go
+++ b/proxy/components.go
@@ -15,6 +15,7 @@
 	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/decision/session"
 	"amaranthdock.dev/declaration"
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/observe"
 	"amaranthdock.dev/proxy/caller"
 	"amaranthdock.dev/proxy/endpoint"
@@ -42,6 +43,8 @@
 	// peerMessages and peerConnections count the traffic of the peer listener.
 	peerMessages    *peer.MessageTraffic
 	peerConnections *peer.ConnectionTraffic
+	// budget limits the memory and the connections of callers; nil without limits in the settings.
+	budget *budget.Budget
 }
 
 // builder holds what the components share while they are created.
@@ -64,6 +67,7 @@
 		timer:          timer.NewSystem(),
 		components:     &components{},
 	}
+	b.components.budget = b.newBudget()
 	b.components.peerMessages = peer.NewMessageTraffic(b.registry)
 	b.components.peerConnections = peer.NewConnectionTraffic("peer.server", b.registry)
 	b.peers = peer.NewClients(peer.ClientConfig{
@@ -233,6 +237,7 @@
 		return err
 	}
 	b.components.caller, err = caller.New(caller.Config{
+		Budget:        b.components.budget,
 		Configuration: b.components.gossip,
 		Dial:          b.peers.Dial,
 		Directory:     b.components.gossip,
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/observe"
 	"amaranthdock.dev/proxy/peer"
 	"amaranthdock.dev/settings"
@@ -41,6 +42,8 @@
 	http   *http.Server
 	// traffic counts the bytes of the connections; nil counts nothing.
 	traffic *peer.ConnectionTraffic
+	// budget limits the connections; nil limits nothing.
+	budget *budget.Budget
 }
 
 // servers are the servers of the three protocols.
@@ -95,13 +98,16 @@
 	callerMux := http.NewServeMux()
 	callerMux.Handle(c.caller.HTTPHandler())
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peerv1connect.NewPeerServiceHandler(c.peer, connect.WithInterceptors(c.peerMessages), peer.HandlerOptions()))
+	peerMux.Handle(peerv1connect.NewPeerServiceHandler(c.peer, connect.WithInterceptors(c.peerMessages),
+		connect.WithReadMaxBytes(maxPeerMessageBytes), peer.HandlerOptions()))
 	operatorMux := http.NewServeMux()
 	operatorMux.Handle(c.operator.Handler())
 	peerServer := newServer("peer", s.PeerListen, loaded.PeerServerTLS, peerMux)
 	peerServer.traffic = c.peerConnections
+	callerServer := newServer("caller", s.CallerListen, loaded.CallerTLS, callerMux)
+	callerServer.limitCallers(c.budget)
 	return &servers{
-		caller:   newServer("caller", s.CallerListen, loaded.CallerTLS, callerMux),
+		caller:   callerServer,
 		operator: newServer("operator", s.OperatorListen, loaded.OperatorTLS, operatorMux),
 		peer:     peerServer,
 	}
@@ -121,6 +127,7 @@
 			HTTP2:             peer.ServerHTTP2Config(),
 			Protocols:         protocols,
 			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 			TLSConfig:         config,
 		},
 	}
@@ -131,6 +138,12 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s", s.name)
 	}
+	if s.budget != nil {
+		listener = limitedListener{
+			Listener: listener,
+			budget:   s.budget,
+		}
+	}
 	if s.traffic != nil {
 		listener = s.traffic.WrapListener(listener)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,11 @@
 	ObserveListen netip.AddrPort `json:"observeListen" yaml:"observeListen"`
 
 	PlatformAddress netip.AddrPort `json:"platformAddress" yaml:"platformAddress"`
+	// MemoryMiB is the memory limit of the process in MiB, and MaxDescriptors that of its file
+	// descriptors. From them follow the limits for callers; 0 for no such limits.
+	MemoryMiB      int64 `json:"memoryMiB,omitempty" yaml:"memoryMiB,omitempty"`
+	MaxDescriptors int   `json:"maxDescriptors,omitempty" yaml:"maxDescriptors,omitempty"`
+
 	// SeedPeers are peer listeners to contact at the start if the platform is
 	// unreachable.
 	SeedPeers []netip.AddrPort `json:"seedPeers,omitempty" yaml:"seedPeers,omitempty"`
@@ -135,6 +140,8 @@
 	for i, peer := range s.SeedPeers {
 		c.checkDialAddress(fmt.Sprintf("seedPeers[%d]", i), peer)
 	}
+	c.checkNotNegative("memoryMiB", s.MemoryMiB)
+	c.checkNotNegative("maxDescriptors", int64(s.MaxDescriptors))
 	c.checkNonEmpty("sessionKeyFile", s.SessionKeyFile)
 	c.checkTLS("callerTls", s.CallerTLS, false)
 	c.checkTLS("peerTls", s.PeerTLS, true)
@@ -180,6 +187,12 @@
 	}
 }
 
+func (c *checker) checkNotNegative(field string, value int64) {
+	if value < 0 {
+		c.addError(field, "must not be negative")
+	}
+}
+
 func (c *checker) checkTLS(field string, files *TLSFiles, mutual bool) {
 	if files == nil {
 		return
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -108,6 +108,7 @@
 		Entry("duplicate address", "127.0.0.1:7102", "127.0.0.1:7101", "operatorListen: must differ from peerListen"),
 		Entry("peer TLS without certificate authorities", ", caFile: cert.pem", "", "peerTls.caFile: must be set"),
 		Entry("unknown log level", "logLevel: debug", "logLevel: loud", "logLevel: must be one of"),
+		Entry("negative memory", "[127.0.0.1:7111]", "[127.0.0.1:7111]\nmemoryMiB: -1", "memoryMiB: must not be"),
 		Entry("seed with an unspecified address", "[127.0.0.1:7111]", "[0.0.0.0:7111]", "seedPeers[0]: must be"),
 	)
 })
