Count 16 KiB for a connection of a caller

Cause: with 20 KiB the smallest VM accepted 892 connections. After a loss of power the first VMs that are ready get the sessions of many, and an idle session takes 11.6 KiB.

Change: 16 KiB, which allows 1,142 connections with 136 MB.

--- a/engine/budget/limits.go
+++ b/engine/budget/limits.go
@@ -68,7 +68,7 @@
 
 // ConnectionBytes is the memory that each connection of a caller counts for: its buffers, stacks
 // and session, and messages and answers of up to FreeBytes.
-const ConnectionBytes = 20 << 10
+const ConnectionBytes = 16 << 10
 
 // FreeBytes is the length up to which a message or an answer needs no memory of its own.
 const FreeBytes = 4 << 10
