Allow 250 requests at once over a connection of the own interface

Cause: the limit of 100 streams failed the spec "requests on a shared connection run for the workspace of their own key" (loadtool/faults/control): 180 requests at once over a connection opened three more.

Change: 250, the default of the library, set explicitly.

Result: the spec passes, and so does loadtool/faults/callers.

--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -32,9 +32,10 @@
 	// pingInterval and pingTimeout close connections of callers that are gone.
 	pingInterval = 30 * time.Second
 	pingTimeout  = 15 * time.Second
-	// maxStreams limits the requests that a caller sends at once over a connection; the default is
-	// 250. Further ones wait at the caller.
-	maxStreams = 100
+	// maxStreams limits the requests that a caller sends at once over a connection. It is the
+	// default of the library: with 100, callers that share a connection for 200 requests at once
+	// opened further connections.
+	maxStreams = 250
 	// maxConnectionBuffer and maxStreamBuffer limit what a connection and a request may have sent
 	// that was not read yet; the default is 1 MiB for both. They allow 12 MB/s at a round trip of
 	// 20 ms.
