--- a/engine/peer/clients.go
+++ b/engine/peer/clients.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/timer"
@@ -55,6 +56,8 @@
 	Dial  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Timer timer.Service
 	Log   logr.Logger
+	// Budget has the limit of messages; nil for the default limit.
+	Budget *budget.Budget
 	// OnResponse is called for each response of a VM; may be nil.
 	OnResponse func(vm string)
 }
@@ -250,10 +253,7 @@
 	}
 	conn.failures = 0
 	conn.unresponsive.Store(false)
-	conn.client = rpc.NewClient(&deadlineConn{
-		Conn:  connection,
-		timer: c.config.Timer,
-	})
+	conn.client = rpc.NewClient(newDeadlineConn(connection, c.config.Timer, c.config.Budget))
 	return conn.client, nil
 }
 
@@ -301,7 +301,29 @@
 // duration of writeTimeout.
 type deadlineConn struct {
 	net.Conn
-	timer timer.Service
+	timer  timer.Service
+	budget *budget.Budget
+	// frames limits the messages of the peer.
+	frames frameLimiter
+}
+
+func newDeadlineConn(conn net.Conn, service timer.Service, limits *budget.Budget) *deadlineConn {
+	return &deadlineConn{
+		Conn:   conn,
+		timer:  service,
+		budget: limits,
+		frames: frameLimiter{limit: limits.Limits().PeerMessageBytes},
+	}
+}
+
+// Read reads data and checks the lengths of the messages in it.
+func (c *deadlineConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if tooLong := c.frames.add(data[:n]); tooLong != nil {
+		c.budget.Count("peerMessageTooLong")
+		return 0, tooLong
+	}
+	return n, err
 }
 
 // Write writes data and sets a deadline for it.
