Return an endpoint's error for a read if its retry does not run

Cause: a single read that an endpoint failed is sent once more. If the retry was refused, for example because the next endpoint was full, the caller got that refusal as not run, and the rate limit token was returned, although the first endpoint had run the statement. Change: the error of the endpoint is kept and returned if the retry ends with a refusal as not run. Result: the test of this case fails before and passes now.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -44,8 +44,8 @@
 	excluded map[string]bool
 	// primaryOnly is set once no replica is left that could serve the read.
 	primaryOnly bool
-	// failedOnce is set once the endpoint's error for a read was answered with a retry.
-	failedOnce  bool
+	// failure is the endpoint's error for a read that was answered with a retry; nil if there was none.
+	failure     *refusal.Error
 	lastRefusal *refusal.Error
 }
 
@@ -60,9 +60,19 @@
 	}
 }
 
-// run retries until the statement has a final result or its deadline is too close for
-// another attempt.
+// run returns the result of the statement. If an endpoint ran a read and failed it, and the retry did
+// not run, the result is that failure: a refusal as not run would be wrong.
 func (d *dispatch) run(ctx context.Context) *peer.RunResponse {
+	result := d.runAttempts(ctx)
+	if d.failure != nil && result.Refused != nil && result.Refused.Outcome == refusal.NotRun {
+		return &peer.RunResponse{Refused: d.failure}
+	}
+	return result
+}
+
+// runAttempts retries until the statement has a final result or its deadline is too close for
+// another attempt.
+func (d *dispatch) runAttempts(ctx context.Context) *peer.RunResponse {
 	for {
 		changed := d.session.manager.config.View.Changed()
 		if refused := d.refusePlace(); refused != nil {
--- a/engine/caller/retry.go
+++ b/engine/caller/retry.go
@@ -26,10 +26,10 @@
 // workspace, because endpoints count what they run.
 func (d *dispatch) mayRetryFailedRead(ctx context.Context, refused *refusal.Error) bool {
 	isRead := d.request.Step == peer.StepSingle && !d.request.Write
-	if refused.Reason != refusal.StatementFailed || !isRead || d.failedOnce || d.remaining() < minSendTimeout {
+	if refused.Reason != refusal.StatementFailed || !isRead || d.failure != nil || d.remaining() < minSendTimeout {
 		return false
 	}
-	d.failedOnce = true
+	d.failure = refused
 	m := d.session.manager
 	if !m.takeRetry(d.auth.workspace) || m.admit(ctx, d.auth) != nil {
 		return false
--- a/engine/caller/retry_test.go
+++ b/engine/caller/retry_test.go
@@ -32,6 +32,25 @@
 		Expect(f.fleet.steps()).To(Equal([]string{"p READ a", "p READ a"}))
 	})
 
+	It("for a read is returned if the retry does not run", func() {
+		// Guards against a read that is refused as not run, and whose rate limit token is returned,
+		// although an endpoint ran it.
+		ran := false
+		f.fleet.respond = func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+			switch {
+			case r.Step == peer.StepPosition:
+				return nil, nil
+			case ran:
+				return &peer.RunResponse{Refused: refusal.NewNotRun(refusal.Overloaded, "full")}, nil
+			}
+			ran = true
+			return &peer.RunResponse{Refused: failed}, nil
+		}
+		expectRefused(do(f.open("bounded"), statement.Read{}, "READ a"), refusal.Unknown, refusal.StatementFailed, statement.Idle)
+		Expect(f.fleet.steps()).To(HaveLen(2))
+		Expect(f.fleet.refunds).To(BeZero())
+	})
+
 	It("for a write is final", func() {
 		// Guards against a write that takes effect twice.
 		f.fleet.respond = refuseAt(failed, "p")
