Use one status report to replace a failing primary

Cause: the leader read the status of a failing primary up to three times, then the switchover read it again, once. A primary that fails a part of its requests may fail that one; then nothing happened, and the next attempt came after 15 s. The log also named the cause as a draining primary. Change: the switchover gets the report that the leader has, and the cause. Result: the test with a primary that fails each second status request fails before (no promotion in 8 s) and passes now.

--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -58,9 +58,9 @@
 	m.databaseState(name).failingReplacedAt = m.config.Timer.SinceBoot()
 	m.mu.Unlock()
 	for range maxStatusAttempts {
-		_, err := m.config.Prober.RunControlCommand(ctx, primary, endpoint.Status{})
+		report, err := m.config.Prober.RunControlCommand(ctx, primary, endpoint.Status{})
 		if err == nil {
-			m.switchOver(ctx, name, primary)
+			m.handOver(ctx, name, primary, report, "the primary fails many of its statements")
 			return
 		}
 		m.config.Log.Info("Could not read the status of a failing primary.", "database", name, "endpoint", primary.Key.ID, "error", err.Error())
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -48,6 +48,30 @@
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 	})
 
+	It("is replaced although it fails each second status request", func() {
+		// Guards against a primary that is kept for the time between two replacements because a
+		// request in the middle of the first one failed.
+		statusRequests := 0
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+			f.database.failStatus = func(id string) bool {
+				if id == "a" {
+					statusRequests++
+				}
+				return id == "a" && statusRequests%2 == 0
+			}
+		})
+		for _, p := range f.peers {
+			p.mu.Lock()
+			p.reachesPrimary = true
+			p.mu.Unlock()
+		}
+		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
+	})
+
 	It("is not replaced if no endpoint of the database serves statements", func() {
 		// Guards against a promotion for statements that fail everywhere.
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -24,6 +24,8 @@
 	servesWell  map[string]bool
 	promotedIDs []string
 	tokens      []uint64
+	// failStatus reports whether a status request to an endpoint fails; may be nil.
+	failStatus func(id string) bool
 	// ignoreRequests is the number of promotion requests that will fail without effect.
 	ignoreRequests int
 	// queriedIDs are the endpoints that received a control command.
@@ -38,6 +40,9 @@
 	if f.unreachable[id] {
 		return nil, errNoResponse
 	}
+	if _, ok := command.(endpoint.Status); ok && f.failStatus != nil && f.failStatus(id) {
+		return nil, errNoResponse
+	}
 	if _, ok := command.(endpoint.StepDown); ok {
 		f.primary = ""
 	}
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -63,6 +63,11 @@
 		m.suspectEvacuated(old)
 		return
 	}
+	m.handOver(ctx, name, old, before, m.switchoverCause(old))
+}
+
+// handOver is switchOver for a primary whose report is known.
+func (m *Manager) handOver(ctx context.Context, name string, old catalog.Endpoint, before *endpoint.Report, cause string) {
 	if !takeover.MayStepDown(m.candidate(old, before, old), m.candidates(ctx, name, old), m.syncReplicas(name)) {
 		m.config.Log.Info("No endpoint can take over from a draining primary yet.", "database", name, "endpoint", old.Key.ID)
 		m.postponeSwitchover(name)
@@ -82,7 +87,7 @@
 		if ok {
 			m.config.Log.Info("A draining primary stepped down.", "database", name, "endpoint", old.Key.ID, "position", after.ReceivedPosition.String(),
 				"successor", chosen.ID, "received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
-			m.promote(ctx, name, chosen, m.switchoverCause(old))
+			m.promote(ctx, name, chosen, cause)
 			return
 		}
 		if timeOver {
