Require a second VM's evidence to replace a failing primary

Cause: the leader asked the homes of the database's other endpoints. If the VM that had reported the primary was also the home of one of these, or was the leader itself, it confirmed its own report, so that a fault of this VM or of its link to the primary was enough for a promotion. Change: the leader keeps the name of the reporting VM and skips the endpoints of which it is the home. A deployment of one VM replaces no failing primary. Result: the new test, in which the only VM reports and confirms, fails before and passes now.

--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -22,7 +22,7 @@
 	if !ok || primary.Key != target.Key {
 		return
 	}
-	m.RecordFailing(target)
+	m.RecordFailing(target, m.config.View.Self().Name)
 	m.notifyLeader(&peer.Suspicion{
 		From:    m.config.View.Self().Name,
 		Target:  target,
@@ -30,12 +30,13 @@
 	})
 }
 
-// RecordFailing records that the home of a primary has seen it fail many of its statements.
-func (m *Manager) RecordFailing(target catalog.Endpoint) {
+// RecordFailing records that a VM, the home of a primary, has seen it fail many of its statements.
+func (m *Manager) RecordFailing(target catalog.Endpoint, reporter string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.databaseState(target.Database)
 	d.failingKey = target.Key
+	d.failingReporter = reporter
 	d.failingAt = m.config.Timer.SinceBoot()
 }
 
@@ -69,13 +70,20 @@
 }
 
 // anotherServesWell reports whether the home of another endpoint of the database confirms that
-// this endpoint serves its statements.
+// this endpoint serves its statements. The VM that reported the primary does not count: its fault
+// may lie between this VM and the primary.
 func (m *Manager) anotherServesWell(ctx context.Context, name string, primary catalog.Endpoint) bool {
+	m.mu.Lock()
+	reporter := m.databaseState(name).failingReporter
+	m.mu.Unlock()
 	for _, e := range m.config.View.Members(name) {
 		if e.Key == primary.Key || e.Draining {
 			continue
 		}
 		home := m.config.View.Homes(e, 1)[0]
+		if home.Name == reporter {
+			continue
+		}
 		if home.Name == m.config.View.Self().Name {
 			if m.ServesWell(e) {
 				return true
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/engine/catalog"
 )
 
 var _ = Describe("a primary that fails its statements while it responds", func() {
@@ -72,6 +74,21 @@
 		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 	})
 
+	It("is not replaced if only the VM that reported it has seen another endpoint serve statements", func() {
+		// Guards against a promotion for a fault of a single VM or of its link to the primary.
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+		})
+		f.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 1000,
+			ByName:   map[string]catalog.VM{"self": f.view.Self()},
+		}, "test")
+		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
+	})
+
 	It("is not replaced if no endpoint of the database serves statements", func() {
 		// Guards against a promotion for statements that fail everywhere.
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -104,9 +104,10 @@
 	promotionRequestedAt time.Duration
 	switchoverAfter      time.Duration
 	lastPrimary          catalog.Endpoint
-	// failingKey is the primary that its home reported as failing at failingAt. failingReplacedAt
-	// is when a primary was last replaced for that reason.
+	// failingKey is the primary that its home, failingReporter, reported as failing at failingAt.
+	// failingReplacedAt is when a primary was last replaced for that reason.
 	failingKey        catalog.EndpointKey
+	failingReporter   string
 	failingAt         time.Duration
 	failingReplacedAt time.Duration
 	// replicaLastSeen holds the time at which each replica was last reported.
--- a/engine/vm/handler.go
+++ b/engine/vm/handler.go
@@ -32,7 +32,7 @@
 
 func (h handler) Suspect(request *peer.Suspicion) {
 	if request.Failing {
-		h.vm.failover.RecordFailing(request.Target)
+		h.vm.failover.RecordFailing(request.Target, request.From)
 		return
 	}
 	h.vm.failover.Suspect(request.Target)
