Don't repeat a busy statement after a suspension of the VM

Cause: a statement that got a busy reply is sent again after 10 ms if its deadline allows. The deadline does not include the time for which the VM was suspended, so a write could run seconds after its caller's VM gave up the call and overwrite newer writes of that caller. Change: the time of the statement is also measured with SinceBoot, and it is not sent again once that is over. This also holds for reads without a reply. Result: the new test fails before (a second WRITE is sent) and passes now.

--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -213,12 +213,14 @@
 		return refusedResult(refused)
 	}
 	h.countRequest(request.Workspace)
+	// The deadline does not include the time for which this VM was suspended.
+	endBoot := h.config.Timer.SinceBoot() + request.Timeout
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
 		for {
 			var retry bool
 			result, retry = h.tryRunSingle(ctx, client, request, deadline)
-			if !retry || !client.reserveAgain(request, requestCount(request)) {
+			if !retry || h.config.Timer.SinceBoot() >= endBoot || !client.reserveAgain(request, requestCount(request)) {
 				return measuresServiceTime(result)
 			}
 		}
--- a/engine/endpoint/outlier_test.go
+++ b/engine/endpoint/outlier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -10,6 +11,7 @@
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/engine/endpoint"
 	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/timer"
 )
 
 var _ = Describe("an endpoint that fails its statements while it responds", func() {
@@ -78,6 +80,21 @@
 		expectCommands(fake, "start ws", "WRITE a b", "WRITE a b")
 	})
 
+	It("is not followed by another attempt after a suspension that outlasts the timeout", func() {
+		// Guards against a write that overwrites newer ones of its caller, whose VM gave up the
+		// call long ago.
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home = newHomeWithClock(fake, clock)
+		result := make(chan *peer.RunResponse, 1)
+		go func() { result <- home.Run(ctx, request(peer.StepSingle, "WRITE a b")) }()
+		Eventually(fake.commands).Should(HaveLen(2))
+		Eventually(clock.Subscribers).Should(Equal(1))
+		clock.Suspend(time.Second)
+		clock.Advance(20 * time.Millisecond)
+		expectRefused(<-result, refusal.NotRun, refusal.Overloaded)
+		expectCommands(fake, "start ws", "WRITE a b")
+	})
+
 	It("of a read that another endpoint can run is returned at once", func() {
 		ran := home.Run(ctx, request(peer.StepSingle, "READ a", func(r *peer.RunRequest) { r.Alternatives = true }))
 		expectRefused(ran, refusal.NotRun, refusal.Overloaded)
