--- a/engine/caller/retry_test.go
+++ b/engine/caller/retry_test.go
@@ -112,7 +112,7 @@
 	It("is refused at once at a cold primary whose budget is spent", func() {
 		// Guards against a read that is held, and sent again without a pause, until its time limit.
 		f := newFixture().start()
-		f.fleet.respond = func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+		f.fleet.respond = func(string, *peer.RunRequest) (*peer.RunResponse, error) {
 			return &peer.RunResponse{
 				Refused: refusal.NewNotRun(refusal.Overloaded, "cold"),
 				Report:  peer.EndpointReport{BudgetWait: time.Second},
