Keep a failing primary if all successors are in evacuated data centres

Cause: the leader took an endpoint in an evacuated data centre as evidence for the replacement of a failing primary. Change: only endpoints that may succeed the primary are asked about.

--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
@@ -69,15 +70,15 @@
 	m.replacePrimary(ctx, name, primary, "the primary fails its statements and status requests")
 }
 
-// anotherServesWell reports whether the home of another endpoint of the database confirms that
-// this endpoint serves its statements. The VM that reported the primary does not count: its fault
+// anotherServesWell reports whether the home of another endpoint of the database, which could
+// succeed the primary, confirms that this endpoint serves its statements. The VM that reported the primary does not count: its fault
 // may lie between this VM and the primary.
 func (m *Manager) anotherServesWell(ctx context.Context, name string, primary catalog.Endpoint) bool {
 	m.mu.Lock()
 	reporter := m.databaseState(name).failingReporter
 	m.mu.Unlock()
 	for _, e := range m.config.View.Members(name) {
-		if e.Key == primary.Key || e.Draining {
+		if e.Key == primary.Key || e.Draining || m.config.View.Access(e) != evacuation.Open {
 			continue
 		}
 		home := m.config.View.Homes(e, 1)[0]
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -89,6 +89,28 @@
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
 	})
 
+	It("gets no control commands if all other endpoints are in evacuated data centres", func() {
+		// Guards against an attempt that cannot succeed and uses up the time between two
+		// replacements.
+		f.place(map[string]string{
+			"a": "a1",
+			"b": "b1",
+			"c": "a2",
+		})
+		f.evacuate(1, "b1", "a2")
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+		})
+		primary, ok := f.view.Primary("db")
+		Expect(ok).To(BeTrue())
+		f.queried()
+		f.manager.RecordFailing(primary, "other")
+		Consistently(f.queried).WithTimeout(time.Second).ShouldNot(ContainElement("a"))
+	})
+
 	It("is not replaced if no endpoint of the database serves statements", func() {
 		// Guards against a promotion for statements that fail everywhere.
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
