--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -44,8 +44,8 @@
 	excluded map[string]bool
 	// primaryOnly is set once no replica is left that could serve the read.
 	primaryOnly bool
-	// failedOnce is set once the endpoint's error for a read was answered with a retry.
-	failedOnce  bool
+	// failure is the endpoint's error for a read that was answered with a retry; nil if there was none.
+	failure     *refusal.Error
 	lastRefusal *refusal.Error
 }
 
@@ -60,9 +60,19 @@
 	}
 }
 
-// run retries until the statement has a final result or its deadline is too close for
-// another attempt.
+// run returns the result of the statement. If an endpoint ran a read and failed it, and the retry did
+// not run, the result is that failure: a refusal as not run would be wrong.
 func (d *dispatch) run(ctx context.Context) *peer.RunResponse {
+	result := d.runAttempts(ctx)
+	if d.failure != nil && result.Refused != nil && result.Refused.Outcome == refusal.NotRun {
+		return &peer.RunResponse{Refused: d.failure}
+	}
+	return result
+}
+
+// runAttempts retries until the statement has a final result or its deadline is too close for
+// another attempt.
+func (d *dispatch) runAttempts(ctx context.Context) *peer.RunResponse {
 	for {
 		changed := d.session.manager.config.View.Changed()
 		if refused := d.refusePlace(); refused != nil {
@@ -75,6 +85,7 @@
 			}
 			continue
 		}
+		askedBefore := d.excluded[target.Key.ID]
 		result, final := d.tryEndpoint(ctx, target)
 		if final {
 			return result
@@ -85,7 +96,9 @@
 		}
 		reason := result.Refused.Reason
 		homeUnknown := reason == refusal.Unreachable || reason == refusal.NotReady
-		if reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (homeUnknown && d.needsPrimary()) {
+		// A read for which no replica can be chosen goes to the primary again and again, so that it has to
+		// pause there, too.
+		if reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (homeUnknown && d.needsPrimary()) || askedBefore {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
@@ -170,10 +183,10 @@
 	}
 	candidates := d.session.manager.applyClassWaits(d.request.Priority, d.candidates())
 	id, ok := placement.Choose(from, required, candidates)
-	d.request.Alternatives = len(candidates) > 1
 	if !ok {
 		return catalog.Endpoint{}, false
 	}
+	d.request.Alternatives = len(candidates) > 1
 	d.request.After = required
 	return v.Endpoints().ByID[id], true
 }
@@ -222,7 +235,9 @@
 		// The home learned of the evacuation first.
 		final = !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		final = d.needsPrimary() || (len(d.excluded) > 0 && !isBudgetRefusal(result)) || !d.takeOverloadRetry()
+		// A budget refusal of an endpoint that was asked before means that no other one can be chosen.
+		maySendElsewhere := len(d.excluded) == 0 || (isBudgetRefusal(result) && !d.excluded[target.Key.ID])
+		final = d.needsPrimary() || !maySendElsewhere || !d.takeOverloadRetry()
 	case refusal.NotReady:
 		final = !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
@@ -22,7 +23,7 @@
 	if !ok || primary.Key != target.Key {
 		return
 	}
-	m.RecordFailing(target)
+	m.RecordFailing(target, m.config.View.Self().Name)
 	m.notifyLeader(&peer.Suspicion{
 		From:    m.config.View.Self().Name,
 		Target:  target,
@@ -30,12 +31,13 @@
 	})
 }
 
-// RecordFailing records that the home of a primary has seen it fail many of its statements.
-func (m *Manager) RecordFailing(target catalog.Endpoint) {
+// RecordFailing records that a VM, the home of a primary, has seen it fail many of its statements.
+func (m *Manager) RecordFailing(target catalog.Endpoint, reporter string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.databaseState(target.Database)
 	d.failingKey = target.Key
+	d.failingReporter = reporter
 	d.failingAt = m.config.Timer.SinceBoot()
 }
 
@@ -58,9 +60,9 @@
 	m.databaseState(name).failingReplacedAt = m.config.Timer.SinceBoot()
 	m.mu.Unlock()
 	for range maxStatusAttempts {
-		_, err := m.config.Prober.RunControlCommand(ctx, primary, endpoint.Status{})
+		report, err := m.config.Prober.RunControlCommand(ctx, primary, endpoint.Status{})
 		if err == nil {
-			m.switchOver(ctx, name, primary)
+			m.handOver(ctx, name, primary, report, "the primary fails many of its statements")
 			return
 		}
 		m.config.Log.Info("Could not read the status of a failing primary.", "database", name, "endpoint", primary.Key.ID, "error", err.Error())
@@ -68,14 +70,21 @@
 	m.replacePrimary(ctx, name, primary, "the primary fails its statements and status requests")
 }
 
-// anotherServesWell reports whether the home of another endpoint of the database confirms that
-// this endpoint serves its statements.
+// anotherServesWell reports whether the home of another endpoint of the database, which could
+// succeed the primary, confirms that this endpoint serves its statements. The VM that reported the primary does not count: its fault
+// may lie between this VM and the primary.
 func (m *Manager) anotherServesWell(ctx context.Context, name string, primary catalog.Endpoint) bool {
+	m.mu.Lock()
+	reporter := m.databaseState(name).failingReporter
+	m.mu.Unlock()
 	for _, e := range m.config.View.Members(name) {
-		if e.Key == primary.Key || e.Draining {
+		if e.Key == primary.Key || e.Draining || m.config.View.Access(e) != evacuation.Open {
 			continue
 		}
 		home := m.config.View.Homes(e, 1)[0]
+		if home.Name == reporter {
+			continue
+		}
 		if home.Name == m.config.View.Self().Name {
 			if m.ServesWell(e) {
 				return true
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/engine/catalog"
 )
 
 var _ = Describe("a primary that fails its statements while it responds", func() {
@@ -48,6 +50,67 @@
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 	})
 
+	It("is replaced although it fails each second status request", func() {
+		// Guards against a primary that is kept for the time between two replacements because a
+		// request in the middle of the first one failed.
+		statusRequests := 0
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+			f.database.failStatus = func(id string) bool {
+				if id == "a" {
+					statusRequests++
+				}
+				return id == "a" && statusRequests%2 == 0
+			}
+		})
+		for _, p := range f.peers {
+			p.mu.Lock()
+			p.reachesPrimary = true
+			p.mu.Unlock()
+		}
+		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
+	})
+
+	It("is not replaced if only the VM that reported it has seen another endpoint serve statements", func() {
+		// Guards against a promotion for a fault of a single VM or of its link to the primary.
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+		})
+		f.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 1000,
+			ByName:   map[string]catalog.VM{"self": f.view.Self()},
+		}, "test")
+		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
+	})
+
+	It("gets no control commands if all other endpoints are in evacuated data centres", func() {
+		// Guards against an attempt that cannot succeed and uses up the time between two
+		// replacements.
+		f.place(map[string]string{
+			"a": "a1",
+			"b": "b1",
+			"c": "a2",
+		})
+		f.evacuate(1, "b1", "a2")
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+		})
+		primary, ok := f.view.Primary("db")
+		Expect(ok).To(BeTrue())
+		f.queried()
+		f.manager.RecordFailing(primary, "other")
+		Consistently(f.queried).WithTimeout(time.Second).ShouldNot(ContainElement("a"))
+	})
+
 	It("is not replaced if no endpoint of the database serves statements", func() {
 		// Guards against a promotion for statements that fail everywhere.
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
