--- a/engine/endpoint/result.go
+++ b/engine/endpoint/result.go
@@ -105,35 +105,3 @@
 	}
 	return refusedResult(refusal.NewNotRun(refusal.Internal, err.Error()))
 }
-
-// refusalFromReply converts an endpoint's error reply to a refusal.
-func refusalFromReply(e *ReplyError) *refusal.Error {
-	outcome := refusal.Unknown
-	if e.NotRun() {
-		outcome = refusal.NotRun
-	}
-	reason := refusal.StatementFailed
-	switch e.Code {
-	case Busy, TooManyConnections:
-		reason = refusal.Overloaded
-	case ReplicaBehind:
-		reason = refusal.ReplicaBehind
-	case NotPrimary:
-		reason = refusal.NotPrimary
-	case WrongEndpoint:
-		reason = refusal.Unreachable
-	case Aborted:
-		outcome = refusal.NotRun
-		reason = refusal.TransactionConflict
-	case InvalidCommand, UnknownPreparedName:
-		reason = refusal.InvalidRequest
-	case ExecutionTimeout:
-		reason = refusal.DeadlineExceeded
-	case UnknownCode, ExecutionFailed:
-	}
-	return &refusal.Error{
-		Outcome: outcome,
-		Reason:  reason,
-		Message: e.Text,
-	}
-}
--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -71,8 +71,8 @@
 }
 
 // anotherServesWell reports whether the home of another endpoint of the database, which could
-// succeed the primary, confirms that this endpoint serves its statements. The VM that reported the primary does not count: its fault
-// may lie between this VM and the primary.
+// succeed the primary, confirms that this endpoint serves its statements. The VM that reported
+// the primary does not count: the fault may lie between this VM and the primary.
 func (m *Manager) anotherServesWell(ctx context.Context, name string, primary catalog.Endpoint) bool {
 	m.mu.Lock()
 	reporter := m.databaseState(name).failingReporter
