Count only replacements in the time between two of a failing primary

Cause: an attempt to replace a failing primary counted as a replacement even if no replica had nearly the whole log, so that the primary was kept, failing, for another 15 s. Change: an attempt in which the primary was not told to step down does not count; the next one follows after 400 ms, as for a draining primary.

--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -56,13 +56,13 @@
 		return
 	}
 	m.config.Log.Info("Replacing a primary that fails many of its statements.", "database", name, "endpoint", primary.Key.ID)
-	m.mu.Lock()
-	m.databaseState(name).failingReplacedAt = m.config.Timer.SinceBoot()
-	m.mu.Unlock()
+	previous := m.setFailingReplacedAt(name, m.config.Timer.SinceBoot())
 	for range maxStatusAttempts {
 		report, err := m.config.Prober.RunControlCommand(ctx, primary, endpoint.Status{})
 		if err == nil {
-			m.handOver(ctx, name, primary, report, "the primary fails many of its statements")
+			if !m.handOver(ctx, name, primary, report, "the primary fails many of its statements") {
+				m.setFailingReplacedAt(name, previous)
+			}
 			return
 		}
 		m.config.Log.Info("Could not read the status of a failing primary.", "database", name, "endpoint", primary.Key.ID, "error", err.Error())
@@ -70,6 +70,17 @@
 	m.replacePrimary(ctx, name, primary, "the primary fails its statements and status requests")
 }
 
+// setFailingReplacedAt sets when a failing primary of a database was last replaced, and returns the
+// time that was set before.
+func (m *Manager) setFailingReplacedAt(name string, at time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.databaseState(name)
+	previous := d.failingReplacedAt
+	d.failingReplacedAt = at
+	return previous
+}
+
 // anotherServesWell reports whether the home of another endpoint of the database, which could
 // succeed the primary, confirms that this endpoint serves its statements. The VM that reported the primary does not count: its fault
 // may lie between this VM and the primary.
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -89,6 +89,27 @@
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
 	})
 
+	It("is replaced as soon as a replica has nearly the whole log", func() {
+		// Guards against a primary that is kept for the time between two replacements because its
+		// replicas were behind at the first attempt, which did not replace it.
+		f.requireSyncReplica()
+		f.database.update(func() {
+			f.database.received["a"] = 500
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+		})
+		for _, p := range f.peers {
+			p.mu.Lock()
+			p.reachesPrimary = true
+			p.mu.Unlock()
+		}
+		Consistently(report).WithTimeout(time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
+		f.database.update(func() { f.database.received["b"] = 500 })
+		Eventually(report).WithTimeout(4 * time.Second).WithPolling(50 * time.Millisecond).Should(Equal([]string{"b"}))
+	})
+
 	It("gets no control commands if all other endpoints are in evacuated data centres", func() {
 		// Guards against an attempt that cannot succeed and uses up the time between two
 		// replacements.
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -66,18 +66,19 @@
 	m.handOver(ctx, name, old, before, m.switchoverCause(old))
 }
 
-// handOver is switchOver for a primary whose report is known.
-func (m *Manager) handOver(ctx context.Context, name string, old catalog.Endpoint, before *endpoint.Report, cause string) {
+// handOver is switchOver for a primary whose report is known. It reports whether the primary was
+// told to step down.
+func (m *Manager) handOver(ctx context.Context, name string, old catalog.Endpoint, before *endpoint.Report, cause string) bool {
 	if !takeover.MayStepDown(m.candidate(old, before, old), m.candidates(ctx, name, old), m.syncReplicas(name)) {
 		m.config.Log.Info("No endpoint can take over from a draining primary yet.", "database", name, "endpoint", old.Key.ID)
 		m.postponeSwitchover(name)
-		return
+		return false
 	}
 	after, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.StepDown{Term: max(before.Term, before.FencedTerm) + 1})
 	if err != nil {
 		m.config.Log.Info("A draining primary did not confirm that it stepped down.", "database", name, "endpoint", old.Key.ID, "error", err.Error())
 		m.replacePrimary(ctx, name, old, "the draining primary may have stepped down")
-		return
+		return true
 	}
 	m.config.View.RecordPromotion(name, "", false)
 	deadline := m.config.Timer.Now().Add(catchUpTimeout)
@@ -88,14 +89,14 @@
 			m.config.Log.Info("A draining primary stepped down.", "database", name, "endpoint", old.Key.ID, "position", after.ReceivedPosition.String(),
 				"successor", chosen.ID, "received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
 			m.promote(ctx, name, chosen, cause)
-			return
+			return true
 		}
 		if timeOver {
 			m.config.Log.Info("No endpoint has received the whole log of an evacuated primary yet.", "database", name, "endpoint", old.Key.ID)
-			return
+			return true
 		}
 		if err := timer.Sleep(ctx, m.config.Timer, pollInterval); err != nil {
-			return
+			return true
 		}
 	}
 }
