--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -85,6 +85,8 @@
 			}
 			continue
 		}
+		// A read for which no replica can be chosen goes to the primary again and again, so that it has to
+		// pause there, too.
 		askedBefore := d.excluded[target.Key.ID]
 		result, final := d.tryEndpoint(ctx, target)
 		if final {
@@ -94,11 +96,7 @@
 		if d.remaining() < minSendTimeout || ctx.Err() != nil {
 			return result
 		}
-		reason := result.Refused.Reason
-		homeUnknown := reason == refusal.Unreachable || reason == refusal.NotReady
-		// A read for which no replica can be chosen goes to the primary again and again, so that it has to
-		// pause there, too.
-		if reason == refusal.NotPrimary || reason == refusal.DataCentreEvacuated || (homeUnknown && d.needsPrimary()) || askedBefore {
+		if askedBefore || d.pausesAfter(result.Refused.Reason) {
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
@@ -106,6 +104,18 @@
 	}
 }
 
+// pausesAfter reports whether the statement waits for a change of the fleet before its next attempt.
+func (d *dispatch) pausesAfter(reason refusal.Reason) bool {
+	switch reason {
+	case refusal.NotPrimary, refusal.DataCentreEvacuated:
+		return true
+	case refusal.Unreachable, refusal.NotReady:
+		return d.needsPrimary()
+	default:
+		return false
+	}
+}
+
 // waitForPrimary waits until the view of the fleet has changed or a retry is due. It
 // returns a refusal if the statement may not wait any longer.
 func (d *dispatch) waitForPrimary(ctx context.Context, changed <-chan struct{}) *refusal.Error {
@@ -216,33 +226,15 @@
 		d.endpoint = target
 		return result, true
 	}
-	final := true
 	switch result.Refused.Reason {
 	case refusal.NotPrimary:
 		outcome.NotPrimary = true
-		final = false
 	case refusal.ReplicaBehind:
 		outcome.MissingPosition = d.request.After
-		final = false
-	case refusal.EndpointEjected:
-		final = false
-	case refusal.StatementFailed:
-		final = !d.mayRetryFailedRead(ctx, result.Refused)
 	case refusal.Unreachable:
 		outcome.Unreachable = true
-		final = result.Refused.Outcome != refusal.NotRun
-	case refusal.DataCentreEvacuated:
-		// The home learned of the evacuation first.
-		final = !d.isRead()
-	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		// A budget refusal of an endpoint that was asked before means that no other one can be chosen.
-		maySendElsewhere := len(d.excluded) == 0 || (isBudgetRefusal(result) && !d.excluded[target.Key.ID])
-		final = d.needsPrimary() || !maySendElsewhere || !d.takeOverloadRetry()
-	case refusal.NotReady:
-		final = !isBudgetRefusal(result)
-	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
-		final = d.request.Write || d.request.Step == peer.StepFirst
 	}
+	final := d.isFinal(ctx, target, result)
 	v.EndStatement(target, outcome)
 	if !final {
 		d.session.manager.config.Log.V(1).Info("Trying a statement again.", "request", d.request.ID, "database", target.Database,
@@ -255,6 +247,32 @@
 	return result, final
 }
 
+// isFinal reports whether a refusal ends the statement, because another attempt could repeat its
+// effect or would have the same result.
+func (d *dispatch) isFinal(ctx context.Context, target catalog.Endpoint, result *peer.RunResponse) bool {
+	switch result.Refused.Reason {
+	case refusal.NotPrimary, refusal.ReplicaBehind, refusal.EndpointEjected:
+		return false
+	case refusal.StatementFailed:
+		return !d.mayRetryFailedRead(ctx, result.Refused)
+	case refusal.Unreachable:
+		return result.Refused.Outcome != refusal.NotRun
+	case refusal.DataCentreEvacuated:
+		// The home learned of the evacuation first.
+		return !d.isRead()
+	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
+		// A budget refusal of an endpoint that was asked before means that no other one can be chosen.
+		maySendElsewhere := len(d.excluded) == 0 || (isBudgetRefusal(result) && !d.excluded[target.Key.ID])
+		return d.needsPrimary() || !maySendElsewhere || !d.takeOverloadRetry()
+	case refusal.NotReady:
+		return !isBudgetRefusal(result)
+	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
+		return d.request.Write || d.request.Step == peer.StepFirst
+	default:
+		return true
+	}
+}
+
 // isBudgetRefusal reports whether a statement was refused because the endpoint is cold: its home
 // has no budget left, or the VMs that were asked do not take themselves for its home.
 func isBudgetRefusal(result *peer.RunResponse) bool {
