Look up an endpoint's client once for each statement at its home

Change: one lookup serves the report and the position sample, takeOverloadRetry stands beside the other retries, and mayRetryFailedRead no longer checks the reason that its only caller has checked. No change of behaviour.

--- a/engine/caller/retry.go
+++ b/engine/caller/retry.go
@@ -21,12 +21,20 @@
 	return s.retryBudgets.TakeRetry(workspace)
 }
 
+// takeOverloadRetry reports whether a read that a full endpoint refused may be sent to another one.
+// With urgency across workspaces it takes the retry out of the workspace's budget: otherwise each
+// read of a burst is sent twice while all endpoints of a database are full.
+func (d *dispatch) takeOverloadRetry() bool {
+	manager := d.session.manager
+	return !manager.config.UrgencyAcrossWorkspaces || manager.takeRetry(d.auth.workspace)
+}
+
 // mayRetryFailedRead reports whether a single read that the endpoint ran and failed is sent once
 // more, if possible to another endpoint. The statement counts as a further operation of its
 // workspace, because endpoints count what they run.
 func (d *dispatch) mayRetryFailedRead(ctx context.Context, refused *refusal.Error) bool {
 	isRead := d.request.Step == peer.StepSingle && !d.request.Write
-	if refused.Reason != refusal.StatementFailed || !isRead || d.failure != nil || d.remaining() < minSendTimeout {
+	if !isRead || d.failure != nil || d.remaining() < minSendTimeout {
 		return false
 	}
 	d.failure = refused
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -125,15 +125,14 @@
 	defer h.running.Add(-1)
 	beganBoot := h.config.Timer.SinceBoot()
 	result := h.run(ctx, request)
-	if client, ok := h.existingClient(request.Endpoint); ok {
-		result.Report.Ejected = client.isEjected()
-		client.reportCapacity(request, &result.Report)
-	}
-	h.reportBudget(request, result)
-	if !result.ProvedPrimary || request.Step == peer.StepPosition {
+	client, ok := h.existingClient(request.Endpoint)
+	if !ok {
 		return result
 	}
-	if client, ok := h.existingClient(request.Endpoint); ok {
+	result.Report.Ejected = client.isEjected()
+	client.reportCapacity(request, &result.Report)
+	client.reportBudget(result)
+	if result.ProvedPrimary && request.Step != peer.StepPosition {
 		client.storeSample(staleness.Sample{
 			At:       beganBoot,
 			Position: result.Position,
--- a/engine/endpoint/slowstart.go
+++ b/engine/endpoint/slowstart.go
@@ -319,16 +319,12 @@
 }
 
 // reportBudget tells the VM that sent a request how long the endpoint takes no more requests.
-func (h *Home) reportBudget(request *peer.RunRequest, result *peer.RunResponse) {
-	if h.config.Coldness == nil {
-		return
-	}
-	client, ok := h.existingClient(request.Endpoint)
-	if !ok {
+func (e *endpointClient) reportBudget(result *peer.RunResponse) {
+	if e.config.Coldness == nil {
 		return
 	}
-	result.Report.BudgetWait = client.budgetWait()
-	if refused := result.Refused; refused != nil && refused.RetryAfter > 0 && client.isLimited() {
+	result.Report.BudgetWait = e.budgetWait()
+	if refused := result.Refused; refused != nil && refused.RetryAfter > 0 && e.isLimited() {
 		result.Report.BudgetWait = max(result.Report.BudgetWait, refused.RetryAfter, minBudgetWaitReport)
 	}
 }
