Remove a race from the member test of connection and slot limits

Cause: the test sent a long statement on one connection and polled with short ones on another. A poll that held the only slot when the long statement arrived made the member refuse the long statement, and every later poll then succeeded.

Change: both connections send a long statement, so that exactly the one that arrives second is refused; closing the other must free the slot.

--- a/standin/member/member_test.go
+++ b/standin/member/member_test.go
@@ -83,16 +83,30 @@
 		b, _ := m.connect(ctx)
 		_, refused := m.connect(ctx)
 		Expect(refused.GetFailure().GetReason()).To(Equal(member.ConnectionLimit))
-		a.send(statement(read, "sleep", "2s"))
-		Eventually(func() string {
-			_, reason := b.run(statement(read, "count", ""))
-			return reason
-		}).Should(Equal("overloaded"))
-		a.close()
+		// Either connection may get the only slot. Only a statement that is still running when
+		// the other one arrives shows the limit, so both run longer than the test.
+		refusedConnections := make(chan *testConnection, 2)
+		for _, c := range []*testConnection{a, b} {
+			c.send(statement(read, "sleep", "1m"))
+			go func() {
+				response, err := c.stream.Receive()
+				if err == nil && response.GetFailure().GetReason() == "overloaded" {
+					refusedConnections <- c
+				}
+			}()
+		}
+		var other *testConnection
+		Eventually(refusedConnections).WithTimeout(20 * time.Second).Should(Receive(&other))
+		holder := a
+		if other == a {
+			holder = b
+		}
+		Consistently(refusedConnections).ShouldNot(Receive())
+		holder.close()
 		Eventually(func() string {
-			_, reason := b.run(statement(read, "count", ""))
+			_, reason := other.run(statement(read, "count", ""))
 			return reason
-		}).Should(BeEmpty())
+		}).WithTimeout(20 * time.Second).Should(BeEmpty())
 	})
 
 	It("delays and interleaves pieces without losing any (guards against a stand-in that never reorders responses)", func(ctx SpecContext) {
