--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -38,6 +38,7 @@
 }
 func (f *fakePeer) RollBackTransaction(peer.TransactionKey)      {}
 func (f *fakePeer) Lend(*peer.LoanRequest) peer.LoanResponse     { return peer.LoanResponse{} }
+func (f *fakePeer) Part(*peer.PartRequest) peer.PartResponse     { return peer.PartResponse{} }
 func (f *fakePeer) News(*peer.GossipRequest) peer.GossipResponse { return peer.GossipResponse{} }
 func (f *fakePeer) Suspect(*peer.Suspicion)                      {}
 func (f *fakePeer) Promoted(*peer.PromotionNotice)               {}
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -102,6 +102,8 @@
 	// registrations, which include lapsed ones.
 	fleetNeighbours neighbourCache
 	claimNeighbours neighbourCache
+
+	transfers transfers
 }
 
 // snapshot is data of the store that is identified by its pointer and has a digest.
@@ -217,6 +219,7 @@
 		Deltas:     true,
 		Claims:     true,
 		Settled:    s.config.Store.FleetSettled(),
+		Transfers:  true,
 
 		EvacuationsRevision: v.Evacuations().Revision,
 	}
@@ -234,6 +237,7 @@
 		s.config.Store.RecordRunningPeer(response.KnowsPredecessor)
 	}
 	s.acceptEvacuations(&response, request.SentAt)
+	s.fetchTransfers(ctx, vm, &response)
 	if response.ConfigDelta != nil {
 		if newer, ok := response.ConfigDelta.Apply(v.Configuration()); ok {
 			v.AcceptConfiguration(newer, response.From.Name)
@@ -245,7 +249,9 @@
 	if response.Endpoints != nil {
 		v.AcceptEndpoints(response.Endpoints, response.From.Name)
 	}
-	v.ConfirmEndpoints(response.EndpointsRevision)
+	if response.EndpointsTransfer == nil || response.Endpoints != nil {
+		v.ConfirmEndpoints(response.EndpointsRevision)
+	}
 	s.acceptFleet(&response)
 	return response, true
 }
@@ -313,6 +319,9 @@
 	if known := s.knownVMs(); mayPassOn && known.Revision > request.VMs.Revision && known.Digest != request.VMs.Digest {
 		s.addFleet(request, &response, known.Digest)
 	}
+	if request.Transfers {
+		s.offerTransfers(&response)
+	}
 	return response
 }
 
@@ -330,6 +339,10 @@
 	if !request.Claims {
 		registrations = registrations.WithoutLapsed()
 	}
+	if request.Transfers {
+		response.VMs, response.VMsRevision = registrations, revision
+		return
+	}
 	vms := *registrations
 	vms.Revision = revision
 	response.VMs = &vms
--- a/engine/gossip/gossip_test.go
+++ b/engine/gossip/gossip_test.go
@@ -114,6 +114,11 @@
 
 // startVM returns a VM that responds to other VMs and knows only the seeds at first.
 func startVM(name string, seeds ...netip.AddrPort) *vm {
+	return startVMBehind(func(c net.Conn) net.Conn { return c }, name, seeds...)
+}
+
+// startVMBehind is startVM with the connections to other VMs wrapped by link.
+func startVMBehind(link func(net.Conn) net.Conn, name string, seeds ...netip.AddrPort) *vm {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
@@ -121,7 +126,11 @@
 	clients := peer.NewClients(peer.ClientConfig{
 		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			var dialer net.Dialer
-			return dialer.DialContext(ctx, "tcp", address.String())
+			connection, err := dialer.DialContext(ctx, "tcp", address.String())
+			if err != nil {
+				return nil, err
+			}
+			return link(connection), nil
 		},
 		Timer: clock,
 		Log:   logr.Discard(),
@@ -151,15 +160,7 @@
 		Seeds:       seeds,
 		RandomIndex: func(int) int { return 0 },
 	})
-	server := peer.NewServer(peer.ServerConfig{
-		Handler: v,
-		Timer:   clock,
-		Log:     logr.Discard(),
-	})
-	go func() {
-		defer GinkgoRecover()
-		Expect(server.Serve(context.Background(), listener)).To(Succeed())
-	}()
+	serveOn(listener, v)
 	return v
 }
 
--- /dev/null
+++ b/engine/gossip/transfer_test.go
@@ -0,0 +1,190 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/timer"
+)
+
+// slowLink is a connection on which each KiB takes a fixed time to arrive.
+type slowLink struct {
+	net.Conn
+	perKiB time.Duration
+}
+
+// Read implements net.Conn.
+func (l slowLink) Read(data []byte) (int, error) {
+	n, err := l.Conn.Read(data[:min(len(data), 1<<10)])
+	time.Sleep(l.perKiB * time.Duration(n) / (1 << 10))
+	return n, err
+}
+
+// largeConfiguration returns a configuration with many routes, whose names differ like those of
+// operators.
+func largeConfiguration(version uint64, routes int) *catalog.Configuration {
+	c := &catalog.Configuration{
+		Version: version,
+		Routes:  map[string]catalog.Route{},
+	}
+	for i := range routes {
+		host := fmt.Sprintf("route-%d-%x.example", i, i*i*7919)
+		c.Routes[host] = catalog.Route{
+			Host:          host,
+			Database:      fmt.Sprintf("database-%d", i%40),
+			Kind:          catalog.ReadYourWrites,
+			Timeout:       4 * time.Second,
+			TargetLatency: time.Second,
+		}
+	}
+	return c
+}
+
+// expectConfiguration waits until a VM has the version of a configuration.
+func expectConfiguration(v *vm, version uint64, timeout time.Duration) {
+	GinkgoHelper()
+	Eventually(func() uint64 {
+		if c := v.view.Configuration(); c != nil {
+			return c.Version
+		}
+		return 0
+	}).WithTimeout(timeout).Should(Equal(version))
+}
+
+var _ = Describe("a large configuration", func() {
+	It("arrives over a link on which it takes longer than the timeout of a call", func() {
+		// Guards against a region whose VMs never get the configuration: each call ended before
+		// the whole response had arrived, and the next one began anew.
+		source := startVM("source").withData(7, 40)
+		source.view.AcceptConfiguration(largeConfiguration(8, 3600), "test")
+		link := func(c net.Conn) net.Conn {
+			return slowLink{
+				Conn:   c,
+				perKiB: 10 * time.Millisecond,
+			}
+		}
+		far := startVMBehind(link, "far", source.view.Self().Address)
+		far.runGossip()
+		expectConfiguration(far, 8, 10*time.Second)
+		Expect(far.view.Configuration()).To(Equal(source.view.Configuration()))
+	})
+
+	It("is never in one message", func() {
+		// Guards against statements and pings that wait behind a large response on the same
+		// connection.
+		source := startVM("source").withData(7, 40)
+		source.view.AcceptConfiguration(largeConfiguration(8, 3600), "test")
+		response := source.News(&peer.GossipRequest{
+			From:      catalog.VM{Name: "other"},
+			Settled:   true,
+			Transfers: true,
+		})
+		Expect(response.Config).To(BeNil())
+		Expect(response.ConfigTransfer.Size).To(BeNumerically(">", peer.PartSize))
+		Expect(response.ConfigTransfer.Data).To(BeEmpty())
+		Expect(len(response.EndpointsTransfer.Data) + len(response.VMsTransfer.Data)).To(BeNumerically("<=", peer.PartSize))
+		received := 0
+		for received < response.ConfigTransfer.Size {
+			part := source.Part(&peer.PartRequest{
+				ID:     response.ConfigTransfer.ID,
+				Offset: received,
+			})
+			Expect(len(part.Data)).To(And(BeNumerically(">", 0), BeNumerically("<=", peer.PartSize)))
+			received += len(part.Data)
+		}
+		Expect(received).To(Equal(response.ConfigTransfer.Size))
+	})
+
+	It("can still be read after the next one has replaced it", func() {
+		// Guards against transfers that begin anew at each change of the configuration.
+		source := startVM("source").withData(7, 40)
+		offered := func(version uint64) *peer.Transfer {
+			source.view.AcceptConfiguration(largeConfiguration(version, 3600), "test")
+			return source.News(&peer.GossipRequest{
+				From:      catalog.VM{Name: "other"},
+				Settled:   true,
+				Transfers: true,
+			}).ConfigTransfer
+		}
+		part := func(transfer *peer.Transfer) []byte {
+			return source.Part(&peer.PartRequest{ID: transfer.ID}).Data
+		}
+		first := offered(8)
+		offered(9)
+		Expect(part(first)).NotTo(BeEmpty())
+		offered(10)
+		Expect(part(first)).To(BeEmpty())
+	})
+})
+
+// misleading is a VM whose offers are changed before they are sent.
+type misleading struct {
+	*vm
+	change func(*peer.Transfer)
+}
+
+// News implements peer.Handler.
+func (m misleading) News(request *peer.GossipRequest) peer.GossipResponse {
+	response := m.vm.News(request)
+	if response.ConfigTransfer != nil {
+		m.change(response.ConfigTransfer)
+	}
+	return response
+}
+
+// serve starts a server for the handler and returns its address.
+func serve(handler peer.Handler) netip.AddrPort {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	serveOn(listener, handler)
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// serveOn serves the calls of other VMs until the listener is closed.
+func serveOn(listener net.Listener, handler peer.Handler) {
+	server := peer.NewServer(peer.ServerConfig{
+		Handler: handler,
+		Timer:   timer.NewSystem(),
+		Log:     logr.Discard(),
+	})
+	go func() {
+		defer GinkgoRecover()
+		Expect(server.Serve(context.Background(), listener)).To(Succeed())
+	}()
+}
+
+var _ = DescribeTable("a VM ignores a transfer", func(change func(*peer.Transfer)) {
+	// Guards against a VM that accepts a part of a configuration, allocates the memory that another
+	// VM states, or stops exchanging data.
+	source := startVM("source")
+	source.view.AcceptEndpoints(&catalog.EndpointSnapshot{
+		Revision: 40,
+		ByID:     map[string]catalog.Endpoint{"e1": {Database: "db"}},
+	}, "test")
+	source.view.AcceptConfiguration(largeConfiguration(8, 3600), "test")
+	address := serve(misleading{
+		vm:     source,
+		change: change,
+	})
+	v := startVM("other", address)
+	v.runGossip()
+	Eventually(func() int { return len(v.view.Endpoints().ByID) }).WithTimeout(2 * time.Second).Should(Equal(1))
+	Consistently(v.view.Configuration).WithTimeout(300 * time.Millisecond).Should(BeNil())
+},
+	Entry("that is too large", func(t *peer.Transfer) { t.Size = 1 << 40 }),
+	Entry("with more data than its size", func(t *peer.Transfer) { t.Size, t.Data = 2, []byte("data") }),
+	Entry("of negative size", func(t *peer.Transfer) { t.Size = -1 }),
+	Entry("whose bytes differ from the offered ones", func(t *peer.Transfer) { t.Size, t.Data = 4, []byte("data") }),
+	Entry("that ends early", func(t *peer.Transfer) { t.Size++ }),
+)
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -193,6 +193,8 @@
 	// EvacuationsRevision is the revision of the set of evacuated data centres that the
 	// requesting VM knows.
 	EvacuationsRevision uint64
+	// Transfers means that the requesting VM accepts a Transfer in place of whole snapshots.
+	Transfers bool
 }
 
 // KnownRevision is a known store revision and the digest of the data at that revision.
@@ -230,6 +232,11 @@
 	// VMsDelta is set in place of VMs if the responding VM knows all changes since the
 	// requesting VM's revision.
 	VMsDelta *catalog.VMDelta
+	// ConfigTransfer, EndpointsTransfer and VMsTransfer are set in place of Config, Endpoints and
+	// VMs if the requesting VM accepts transfers.
+	ConfigTransfer, EndpointsTransfer, VMsTransfer *Transfer
+	// VMsRevision is the revision of the registrations in VMsTransfer.
+	VMsRevision uint64
 	// EvacuationsRevision is the revision of the set of evacuated data centres that the
 	// responding VM knows; 0 if it knows none.
 	EvacuationsRevision uint64
@@ -239,6 +246,34 @@
 	EvacuationAges map[string]time.Duration
 }
 
+// PartSize is the largest number of bytes of an encoded snapshot in one message. A link of
+// 10 Mbit/s takes 7 ms for it, so that statements and pings on the same connection are not held
+// up, and 30 VMs that read from one VM at once each get a part within the timeout of a call.
+const PartSize = 8 << 10
+
+// Transfer offers an encoded snapshot that the requesting VM reads in parts.
+type Transfer struct {
+	// ID identifies the encoded bytes.
+	ID uint64
+	// Size is the number of encoded bytes.
+	Size int
+	// Data is the first part if it fits into the response, else empty.
+	Data []byte
+}
+
+// PartRequest requests a part of an encoded snapshot.
+type PartRequest struct {
+	// ID is that of the Transfer.
+	ID     uint64
+	Offset int
+}
+
+// PartResponse holds a part of at most PartSize bytes; it is empty if the responding VM does not
+// have the snapshot any more.
+type PartResponse struct {
+	Data []byte
+}
+
 // Suspicion is the argument of two calls: Suspect reports to the leader that a VM does not
 // reach an endpoint, and Confirm requests another VM to probe the endpoint.
 type Suspicion struct {
--- a/engine/peer/peer_test.go
+++ b/engine/peer/peer_test.go
@@ -67,6 +67,8 @@
 	return append([]peer.TransactionKey(nil), f.rolledBack...)
 }
 
+func (f *fakeVM) Part(*peer.PartRequest) peer.PartResponse { return peer.PartResponse{} }
+
 func (f *fakeVM) Lend(request *peer.LoanRequest) peer.LoanResponse {
 	return peer.LoanResponse{Tokens: request.Waiting}
 }
--- a/engine/peer/server.go
+++ b/engine/peer/server.go
@@ -36,6 +36,8 @@
 	Lend(request *LoanRequest) LoanResponse
 	// News handles a gossip request and returns the data that the requesting VM lacks.
 	News(request *GossipRequest) GossipResponse
+	// Part returns a part of a snapshot that a response to a gossip request has offered.
+	Part(request *PartRequest) PartResponse
 	// Suspect records that another VM does not reach an endpoint.
 	Suspect(request *Suspicion)
 	// Confirm probes an endpoint and reports whether it responds.
@@ -195,6 +197,13 @@
 	return nil
 }
 
+// Part returns a part of a snapshot.
+func (s *connectionService) Part(request *PartRequest, reply *PartResponse) (err error) {
+	defer guard.RecoverTo(s.log, "Part", &err)
+	*reply = s.handler.Part(request)
+	return nil
+}
+
 // Suspect records that the calling VM does not reach an endpoint.
 func (s *connectionService) Suspect(request *Suspicion, _ *Empty) (err error) {
 	defer guard.RecoverTo(s.log, "Suspect", &err)
--- a/engine/vm/handler.go
+++ b/engine/vm/handler.go
@@ -30,6 +30,10 @@
 	return h.vm.gossip.News(request)
 }
 
+func (h handler) Part(request *peer.PartRequest) peer.PartResponse {
+	return h.vm.gossip.Part(request)
+}
+
 func (h handler) Suspect(request *peer.Suspicion) {
 	if request.Failing {
 		h.vm.failover.RecordFailing(request.Target, request.From)
