Leave the store to others at the start while the fleet is unknown

Cause: a VM that did not know the fleet yet read the configuration from the store at once. With 150 VMs in the region without the store, 148 of them read it over a link of 60 Mbit/s; none got it within the 10 s of a call, and all began again. The region was never served.

Change: until a VM knows the fleet, only the seeds read the configuration and the reports; the others read the registrations, or get everything from other VMs, and go to the store after a random time of 3 to 9 s. VMs of a large region that get no update from their readers begin over a random part of the region's whole time in place of all at once after 6 s. The tests of the store's loops run one loop alone and now start as seeds; the tests of starting VMs do not.

--- a/decision/confsync/reading.go
+++ b/decision/confsync/reading.go
@@ -27,8 +27,17 @@
 	// VMs of a region read a large configuration from the store at once, none of them
 	// gets it in time, since they share the link between regions.
 	StartDelayPerVM = 50 * time.Millisecond
-	// MaxStartDelay is the longest time that a VM waits in this way.
+	// MaxStartDelay is the longest time that a VM waits in this way, but for a random part of the
+	// time that all groups of the region take. Without that part, 145 of 150 VMs began to read at
+	// the same time if the readers were slow.
 	MaxStartDelay = 6 * time.Second
+	// MinUnknownFleetDelay is the shortest time for which a VM that has just started and does not
+	// know the fleet yet leaves the store to others. With 301 VMs and 3,600 routes, all VMs of a
+	// region read the configuration over the link between regions at once, none of them got it
+	// within the timeout of a call, and all began again.
+	MinUnknownFleetDelay = 3 * time.Second
+	// MaxUnknownFleetDelay is the longest such time. The VMs draw their times at random.
+	MaxUnknownFleetDelay = 9 * time.Second
 )
 
 // ReaderCount returns how many VMs of a region of the given size read the store for the
@@ -41,6 +50,11 @@
 type SourceInput struct {
 	// Registered is true if the VM is in its own list of the registered VMs.
 	Registered bool
+	// IsSeed is true if other VMs contact this VM at their start.
+	IsSeed bool
+	// Spread is a random number from 0 to 1 that the VM draws at its start. It spreads the VMs that
+	// read the store because they got no update.
+	Spread float64
 	// IsLeader is true if the VM is the leader, which requests promotions.
 	IsLeader bool
 	// Rank is the VM's place, from 0, in the ranking of the live VMs of its region, and
@@ -81,6 +95,8 @@
 		// store than at any other time. This includes VMs that the store turns away until
 		// their registration has expired.
 		return AskReaders{}
+	case !in.Registered && !in.HasUpdate && !in.IsSeed && in.Uptime < in.unknownFleetDelay():
+		return AskReaders{}
 	case !in.Registered:
 		return ReadStore{Reason: "the VM is not registered"}
 	case in.Rank < readers:
@@ -89,9 +105,25 @@
 		return ReadStore{Reason: "the VM is the leader"}
 	case in.HasUpdate && in.UpdateAge > MaxUpdateAge:
 		return ReadStore{Reason: "the latest update from the readers is too old"}
-	case !in.HasUpdate && in.Uptime > min(time.Duration(in.Rank/readers*in.RegionSize)*StartDelayPerVM, MaxStartDelay):
+	case !in.HasUpdate && in.Uptime > in.startDelay(readers):
 		return ReadStore{Reason: "no update from the readers since the start"}
 	default:
 		return AskReaders{}
 	}
 }
+
+// unknownFleetDelay returns how long after its start a VM that does not know the fleet leaves the
+// store to the seeds and to the VMs that know that they are readers.
+func (in SourceInput) unknownFleetDelay() time.Duration {
+	return MinUnknownFleetDelay + time.Duration(in.Spread*float64(MaxUnknownFleetDelay-MinUnknownFleetDelay))
+}
+
+// startDelay returns how long after its start a VM waits for the first update from the readers.
+func (in SourceInput) startDelay(readers int) time.Duration {
+	wholeRegion := time.Duration(in.RegionSize) * StartDelayPerVM
+	delay := time.Duration(in.Rank/readers) * wholeRegion
+	if delay <= MaxStartDelay {
+		return delay
+	}
+	return MaxStartDelay + time.Duration(in.Spread*float64(wholeRegion))
+}
--- a/decision/confsync/reading_test.go
+++ b/decision/confsync/reading_test.go
@@ -56,6 +56,23 @@
 		}, confsync.AskReaders{}),
 		Entry("its registration has expired", func(r *confsync.SourceInput) { r.Registered = false },
 			confsync.ReadStore{Reason: "the VM is not registered"}),
+		Entry("it has just started and does not know the fleet", func(r *confsync.SourceInput) {
+			r.Registered, r.HasUpdate = false, false
+			r.Rank = -1
+			r.Uptime = confsync.MinUnknownFleetDelay - 1
+		}, confsync.AskReaders{}),
+		Entry("other VMs contact it at their start", func(r *confsync.SourceInput) {
+			r.Registered, r.HasUpdate = false, false
+			r.Rank = -1
+			r.Uptime = 0
+			r.IsSeed = true
+		}, confsync.ReadStore{Reason: "the VM is not registered"}),
+		Entry("it does not learn the fleet", func(r *confsync.SourceInput) {
+			r.Registered, r.HasUpdate = false, false
+			r.Rank = -1
+			r.Uptime = confsync.MaxUnknownFleetDelay
+			r.Spread = 1
+		}, confsync.ReadStore{Reason: "the VM is not registered"}),
 		Entry("it has just started with many others", func(r *confsync.SourceInput) {
 			r.HasUpdate = false
 			r.Uptime = 5 * time.Second
@@ -72,6 +89,27 @@
 		}, confsync.ReadStore{Reason: "no update from the readers since the start"}),
 	)
 
+	It("spreads the VMs of a large region that have not got the data in time", func() {
+		// Guards against 145 VMs that read a large configuration over the link between regions at
+		// once, so that none of them gets it within the timeout of a call.
+		readers := func(uptime time.Duration) int {
+			count := 0
+			for i := range 145 {
+				r := upToDate()
+				r.HasUpdate = false
+				r.Rank, r.RegionSize = i+5, 150
+				r.Spread = float64(i) / 145
+				r.Uptime = uptime
+				if _, ok := r.ChooseSource().(confsync.ReadStore); ok {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(readers(confsync.MaxStartDelay + 100*time.Millisecond)).To(BeNumerically("<=", 5))
+		Expect(readers(confsync.MaxStartDelay + 150*confsync.StartDelayPerVM)).To(Equal(145))
+	})
+
 	It("needs the same number of readers for two small regions, and more for a large one", func() {
 		// Guards against a small region with a single reader, and against a large region
 		// with too few.
--- a/engine/store/fakes_test.go
+++ b/engine/store/fakes_test.go
@@ -345,6 +345,8 @@
 		Registry:            metrics.NewRegistry(),
 		Jitter:              func() float64 { return 0.5 },
 		HearsMostNeighbours: func() bool { return !f.isolated.Load() },
+		// Most tests run one of the loops alone, so that the VM does not learn the fleet.
+		IsSeed: true,
 	}
 	change(f, &config)
 	f.syncer = store.New(config)
--- a/engine/store/readers.go
+++ b/engine/store/readers.go
@@ -93,6 +93,8 @@
 	asOf := s.readerDataAsOf.Load()
 	input := confsync.SourceInput{
 		Registered:       registered,
+		IsSeed:           s.config.IsSeed,
+		Spread:           s.spread,
 		IsLeader:         vms.Leader == name,
 		Rank:             rank,
 		RegionSize:       liveCount,
--- a/engine/store/readers_test.go
+++ b/engine/store/readers_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/store"
+	"amaranthdock.dev/timer"
 )
 
 // joinFleet registers the VM in a region with other VMs and reports whether it is one of
@@ -79,6 +81,21 @@
 })
 
 var _ = Describe("a VM that starts", func() {
+	newFixture := func() *fixture {
+		return newFixtureWith(timer.NewSystem(), func(_ *fixture, c *store.Config) { c.IsSeed = false })
+	}
+
+	It("leaves the configuration to others until it knows the fleet", func() {
+		// Guards against a region whose VMs all read a large configuration over the link between
+		// regions at once, so that none of them gets it.
+		f := newFixture()
+		go f.syncer.FollowConfiguration(f.ctx)
+		go f.syncer.FollowReports(f.ctx)
+		Consistently(f.countCalls).WithTimeout(1500 * time.Millisecond).Should(BeZero())
+		f.joinFleet(0, "")
+		f.expectVersion(1)
+	})
+
 	It("does not read the registrations that another VM sends", func() {
 		// Guards against a read of the whole fleet by each VM at the start of a large one.
 		f := newFixture()
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -256,7 +256,8 @@
 	backoff := s.newBackoff()
 	stale := false
 	for ctx.Err() == nil {
-		if !s.ReadsStore() {
+		// The registrations, which are short, tell a VM that has just started who reads the rest.
+		if s.config.View.VMsRevision() != 0 && !s.ReadsStore() {
 			if !s.awaitFleetRequest(ctx, readerCheckInterval) {
 				continue
 			}
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -94,6 +94,8 @@
 	configurationRevision atomic.Int64
 	// startedAt is the time at which the process started.
 	startedAt int64
+	// spread is the random number with which this VM's reads of the store are spread.
+	spread float64
 	// registered is closed after the first registration of this process.
 	registered chan struct{}
 	// readerDataAsOf is the time at which the store held the newest data that a reader
@@ -119,6 +121,7 @@
 	return &Syncer{
 		config:        config,
 		startedAt:     int64(config.Timer.SinceBoot()),
+		spread:        config.Jitter(),
 		registered:    make(chan struct{}),
 		failures:      metrics.GetOrRegisterCounter("store.failures", config.Registry),
 		pollRequested: make(chan struct{}, 1),
