Separate the evaluation of admission, queueing and routing from its effects

An explanation of a routing decision needs the decisions of the entry VM and of the homes without tokens taken or items queued.

--- a/decision/limits/limits.go
+++ b/decision/limits/limits.go
@@ -38,6 +38,16 @@
 	Limit Limit
 }
 
+// Admission is how a VM would admit a request of a subject.
+type Admission struct {
+	Limit Limit
+	// Tokens is the number of whole tokens of the VM's own share.
+	Tokens int64
+	// MustWait is true if the request would wait for a token: of the own share, or lent
+	// by another VM.
+	MustWait bool
+}
+
 // AssignableBurst returns the burst that the buckets of all VMs together may hold:
 // the burst without the tokens reserved for loans in transit (see LoanTimeout). A limit with a
 // rate holds at least one token; otherwise it would admit nothing.
--- a/decision/routing/route.go
+++ b/decision/routing/route.go
@@ -120,14 +120,11 @@
 func bestReplica(in ReadInput, sameRegion bool) (string, bool) {
 	best, found, lowestCost := "", false, time.Duration(0)
 	for _, declared := range in.Endpoints {
-		if declared.Leaving || in.ExcludedEndpoints[declared.ID] || declared.ID == in.View.Primary {
+		if declared.ID == in.View.Primary || sameRegion != (declared.Region == in.Region) {
 			continue
 		}
-		if sameRegion != (declared.Region == in.Region) {
-			continue
-		}
-		member, ok := in.View.Member(declared.ID)
-		if !ok || !isEligible(member, in.FreshnessRequirement) {
+		member, exclusion := replicaExclusion(declared, in)
+		if exclusion != "" {
 			continue
 		}
 		cost := replicaCost(member, declared, in)
@@ -138,14 +135,24 @@
 	return best, found
 }
 
-// isEligible reports whether a replica may be able to serve a read. It leaves the check
-// of the position to the home, which knows it exactly: the entry VM's view is delayed,
-// and the replica may have caught up since.
-func isEligible(member MemberView, f FreshnessRequirement) bool {
-	if !member.Reachable {
-		return false
+// replicaExclusion returns the view of a replica and why the replica cannot serve a
+// read; an empty Exclusion if it may be able to. It leaves the check of the position to
+// the home, which knows it exactly: the entry VM's view is delayed, and the replica may
+// have caught up since.
+func replicaExclusion(declared DeclaredEndpoint, in ReadInput) (MemberView, Exclusion) {
+	member, ok := in.View.Member(declared.ID)
+	switch {
+	case declared.Leaving:
+		return member, Draining
+	case in.ExcludedEndpoints[declared.ID]:
+		return member, RefusedByHome
+	case !ok || !member.Reachable:
+		return member, Down
+	case in.HasMaxAge && member.AgeKnown && member.Age > in.MaxAge:
+		return member, TooOld
+	default:
+		return member, ""
 	}
-	return !f.HasMaxAge || !member.AgeKnown || member.Age <= f.MaxAge
 }
 
 // replicaCost estimates the time of a read at a replica, which includes catching up if
--- a/decision/routing/serve.go
+++ b/decision/routing/serve.go
@@ -50,53 +50,60 @@
 
 // ServeRead decides what the home of an endpoint does with a read.
 func ServeRead(in ServeInput) ServeDecision {
+	decision, _ := ExplainServe(in)
+	return decision
+}
+
+// ExplainServe returns the decision of ServeRead and, if it is RefuseRead, why the
+// endpoint cannot serve the read.
+func ExplainServe(in ServeInput) (ServeDecision, Exclusion) {
 	if in.Endpoint.Leaving {
-		return RefuseRead{Reason: refusal.EndpointLeaving}
+		return RefuseRead{Reason: refusal.EndpointLeaving}, Draining
 	}
 	if in.View.Primary == in.Endpoint.ID {
 		return serveAtPrimary(in)
 	}
 	if !in.AllowsReplica() {
-		return RefuseRead{Reason: refusal.NotPrimary}
+		return RefuseRead{Reason: refusal.NotPrimary}, PrimaryRequired
 	}
 	member, ok := in.View.Member(in.Endpoint.ID)
 	if !ok || !member.Reachable {
-		return RefuseRead{Reason: refusal.Unreachable}
+		return RefuseRead{Reason: refusal.Unreachable}, Down
 	}
 	if in.HasMaxAge && (!member.AgeKnown || member.Age > in.MaxAge) {
-		return RefuseRead{Reason: refusal.ReplicaBehind}
+		return RefuseRead{Reason: refusal.ReplicaBehind}, TooOld
 	}
 	if !in.HasRequiredPosition || member.LastPosition.Covers(in.RequiredPosition) {
-		return ServeNow{}
+		return ServeNow{}, ""
 	}
 	return waitOrRefuse(in)
 }
 
 // serveAtPrimary refuses the read if the endpoint may have been replaced as the
 // primary: no other member confirms its term, or the session has seen a newer term.
-func serveAtPrimary(in ServeInput) ServeDecision {
+func serveAtPrimary(in ServeInput) (ServeDecision, Exclusion) {
 	if !in.PrimaryConfirmed {
-		return RefuseRead{Reason: refusal.NotPrimary}
+		return RefuseRead{Reason: refusal.NotPrimary}, PrimaryNotConfirmed
 	}
 	if in.HasRequiredPosition && in.RequiredPosition.Term > in.View.Term {
-		return RefuseRead{Reason: refusal.NotPrimary}
+		return RefuseRead{Reason: refusal.NotPrimary}, NotPrimary
 	}
-	return ServeNow{}
+	return ServeNow{}, ""
 }
 
 // waitOrRefuse waits if the replica is expected to catch up sooner than the primary
 // would serve the read. The age of the replica's data is not used as an estimate of the
 // catch-up time, because it also grows between samples and while the primary writes
 // nothing.
-func waitOrRefuse(in ServeInput) ServeDecision {
+func waitOrRefuse(in ServeInput) (ServeDecision, Exclusion) {
 	primaryLatency := primaryReadLatency(in)
 	if !in.CatchUpKnown || in.CatchUp > primaryLatency || in.CatchUp >= in.UntilDeadline {
-		return RefuseRead{Reason: refusal.ReplicaBehind}
+		return RefuseRead{Reason: refusal.ReplicaBehind}, BehindPosition
 	}
 	return WaitForPosition{
 		Position: in.RequiredPosition,
 		Limit:    min(primaryLatency, in.UntilDeadline),
-	}
+	}, ""
 }
 
 // primaryReadLatency estimates the time of a read at the primary: the round trip to the
--- a/decision/scheduling/queue.go
+++ b/decision/scheduling/queue.go
@@ -8,8 +8,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"amaranthdock.dev/decision/refusal"
 )
 
 const (
@@ -157,14 +155,9 @@
 
 // Enqueue accepts an item (Enqueued) or refuses it (Refused).
 func (q *Queue) Enqueue(now time.Time, item Item) Decision {
-	f := q.findOrAddFlow(item.Subject)
-	f.weight = float64(max(item.Weight, 1))
-	f.lastArrival = now
-	q.updateFairService(now)
-	if !q.config.AdmitAll {
-		if refused, ok := q.checkAdmission(now, f, item); ok {
-			return refused
-		}
+	f := q.recordArrival(now, item)
+	if refused, ok := q.checkAdmission(now, f, item); ok {
+		return refused
 	}
 	if f.waitingCount() == 0 {
 		f.startTag = max(f.startTag, q.virtualTime)
@@ -365,24 +358,6 @@
 	}
 }
 
-// checkAdmission returns a refusal and true if the item must not be accepted.
-func (q *Queue) checkAdmission(now time.Time, f *flow, item Item) (Refused, bool) {
-	if q.urgent() {
-		return q.checkUrgentAdmission(now, f, item)
-	}
-	wait := q.expectedWait(now, f, item)
-	if !now.Add(wait + q.requiredTime(now, f)).Before(item.Deadline) {
-		return Refused{Reason: refusal.DeadlineTooShort}, true
-	}
-	if q.config.MaxWait > 0 && wait > q.config.MaxWait {
-		return Refused{
-			Reason:     refusal.Overloaded,
-			RetryAfter: max(wait-q.config.MaxWait, minRetryAfter),
-		}, true
-	}
-	return Refused{}, false
-}
-
 func (q *Queue) waitingCount() int {
 	return len(q.waitingItems)
 }
--- a/proxy/lending/admit.go
+++ b/proxy/lending/admit.go
@@ -34,12 +34,8 @@
 // is not configured; notReady if the share record has not been read or names no
 // holder of the subject; deadlineExceeded if the context ends.
 func (l *Limiter) Admit(ctx context.Context, name string) error {
-	snapshot := l.config.Configuration.Current()
-	if snapshot == nil {
-		return notReady("there is no configuration yet")
-	}
-	if _, ok := snapshot.Subject(name); !ok {
-		return refusal.NewNotRun(refusal.NotAllowed, "the subject is not configured")
+	if refused := l.checkConfigured(name); refused != nil {
+		return refused
 	}
 	s, w, err := l.admitOrEnqueue(name)
 	if err != nil || w == nil {
@@ -68,7 +64,9 @@
 	}
 	s.waiters = slices.Delete(s.waiters, index, index+1)
 	if refused == nil {
-		refused = l.rateExceeded(l.config.Timer.Now(), s)
+		now := l.config.Timer.Now()
+		refused = l.rateExceeded(now, s)
+		l.countWrongfulRefusal(now, s)
 	}
 	l.counters.refused.Inc(1)
 	return refused
@@ -81,24 +79,21 @@
 	defer l.mu.Unlock()
 	if !l.loaded {
 		l.counters.refused.Inc(1)
-		return nil, nil, notReady("the share record has not been read yet")
+		return nil, nil, errNotLoaded()
 	}
 	now := l.config.Timer.Now()
 	s := l.subject(now, name)
-	if len(s.waiters) == 0 && s.share.Take(now, 1) == 1 {
+	mustWait, refused := l.decide(now, s)
+	if refused != nil {
+		l.countRefusal(now, s, refused)
+		return nil, nil, refused
+	}
+	if !mustWait {
+		s.share.Take(now, 1)
 		l.counters.admitted.Inc(1)
 		s.rate.add(now, 1)
 		return s, nil, nil
 	}
-	if len(l.record.Shares(name)) == 0 {
-		l.counters.refused.Inc(1)
-		l.requestRefresh()
-		return nil, nil, notReady("no VM holds a share of the subject's rate limit yet")
-	}
-	if !limits.CanAdmitWithin(now, maxWait, int64(len(s.waiters)), s.share, l.lenders(s)) {
-		l.counters.refused.Inc(1)
-		return nil, nil, l.rateExceeded(now, s)
-	}
 	w := &waiter{admitted: make(chan struct{})}
 	s.waiters = append(s.waiters, w)
 	if !s.borrowing {
@@ -108,6 +103,32 @@
 	return s, w, nil
 }
 
+// decide returns whether a new request of the subject must wait for a token, or its
+// refusal. It takes no token. The caller holds mu.
+func (l *Limiter) decide(now time.Time, s *subject) (mustWait bool, refused *refusal.Error) {
+	switch {
+	case len(s.waiters) == 0 && s.share.Available(now) >= 1:
+		return false, nil
+	case len(l.record.Shares(s.name)) == 0:
+		return false, notReady("no VM holds a share of the subject's rate limit yet")
+	case !limits.CanAdmitWithin(now, maxWait, int64(len(s.waiters)), s.share, l.lenders(s)):
+		return false, l.rateExceeded(now, s)
+	default:
+		return true, nil
+	}
+}
+
+// countRefusal counts a refusal by decide. If no VM holds a share, it has the share record
+// read again. The caller holds mu.
+func (l *Limiter) countRefusal(now time.Time, s *subject, refused *refusal.Error) {
+	l.counters.refused.Inc(1)
+	if refused.Reason == refusal.RateExceeded {
+		l.countWrongfulRefusal(now, s)
+		return
+	}
+	l.requestRefresh()
+}
+
 // borrowForWaiters borrows tokens until the subject has no waiters.
 func (l *Limiter) borrowForWaiters(s *subject) {
 	for {
@@ -150,7 +171,6 @@
 		queueSeconds := float64(len(s.waiters)+1) / rate
 		retryAfter = max(retryAfter, time.Duration(queueSeconds*float64(time.Second)))
 	}
-	l.countWrongfulRefusal(now, s)
 	refused := refusal.NewNotRun(refusal.RateExceeded, "the subject has reached its rate limit")
 	refused.RetryAfter = retryAfter
 	return refused
--- a/proxy/lending/lending.go
+++ b/proxy/lending/lending.go
@@ -193,20 +193,26 @@
 // subject returns the state of a subject, with the limit of the active configuration.
 // The caller holds mu, and the share record must have been read.
 func (l *Limiter) subject(now time.Time, name string) *subject {
-	limit := l.limit(name)
 	s, ok := l.subjects[name]
 	if ok {
-		s.share.SetLimit(now, limit)
+		s.share.SetLimit(now, l.limit(name))
 		return s
 	}
-	s = &subject{
+	s = l.newSubject(now, name)
+	l.subjects[name] = s
+	return s
+}
+
+// newSubject returns the state of a subject of which this VM has none yet. The caller
+// holds mu.
+func (l *Limiter) newSubject(now time.Time, name string) *subject {
+	s := &subject{
 		name:            name,
-		share:           limits.NewLocalShare(now, limit, l.firstRevision),
+		share:           limits.NewLocalShare(now, l.limit(name), l.firstRevision),
 		lenderStates:    map[string]limits.LenderState{},
 		requestedTokens: map[string]int64{},
 		wake:            make(chan struct{}, 1),
 	}
-	l.subjects[name] = s
 	l.applyToSubject(now, s)
 	return s
 }
