Explain routing decisions at the entry VM without sending the request

Operators have no way to see where a request would be routed and why. The operator service gets ExplainRoute, which makes the attempts of a request's dispatch on a copy of the entry VM's view; in place of forwarding it asks the homes with the new call ExplainStep of the peer service. A VM of an older build does not know the call; its state is then reported as unknown.

--- a/api/amaranthdock/operator/v1/operatorv1connect/operator.connect.go
+++ b/api/amaranthdock/operator/v1/operatorv1connect/operator.connect.go
@@ -41,6 +41,9 @@
 	// OperatorServiceChangeConfigurationProcedure is the fully-qualified name of the OperatorService's
 	// ChangeConfiguration RPC.
 	OperatorServiceChangeConfigurationProcedure = "/amaranthdock.operator.v1.OperatorService/ChangeConfiguration"
+	// OperatorServiceExplainRouteProcedure is the fully-qualified name of the OperatorService's
+	// ExplainRoute RPC.
+	OperatorServiceExplainRouteProcedure = "/amaranthdock.operator.v1.OperatorService/ExplainRoute"
 	// OperatorServiceGetStatusProcedure is the fully-qualified name of the OperatorService's GetStatus
 	// RPC.
 	OperatorServiceGetStatusProcedure = "/amaranthdock.operator.v1.OperatorService/GetStatus"
@@ -60,6 +63,10 @@
 	// one. If a change with the same id has been accepted before, it returns the
 	// version of that change.
 	ChangeConfiguration(context.Context, *v1.ChangeConfigurationRequest) (*v1.ChangeConfigurationResponse, error)
+	// ExplainRoute returns where the proxy, as the entry, would send a request now,
+	// and why. It sends no statement, opens no connection to an endpoint and takes no
+	// token of a rate limit.
+	ExplainRoute(context.Context, *v1.ExplainRouteRequest) (*v1.ExplainRouteResponse, error)
 	// GetStatus returns the proxy's view of the fleet and the databases.
 	GetStatus(context.Context, *v1.GetStatusRequest) (*v1.GetStatusResponse, error)
 	// GetDump returns the state dump of the proxy process as JSON, without secrets.
@@ -91,6 +98,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ChangeConfiguration")),
 			connect.WithClientOptions(opts...),
 		),
+		explainRoute: connect.NewClient[v1.ExplainRouteRequest, v1.ExplainRouteResponse](
+			httpClient,
+			baseURL+OperatorServiceExplainRouteProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ExplainRoute")),
+			connect.WithClientOptions(opts...),
+		),
 		getStatus: connect.NewClient[v1.GetStatusRequest, v1.GetStatusResponse](
 			httpClient,
 			baseURL+OperatorServiceGetStatusProcedure,
@@ -116,6 +129,7 @@
 type operatorServiceClient struct {
 	getConfiguration    *connect.Client[v1.GetConfigurationRequest, v1.GetConfigurationResponse]
 	changeConfiguration *connect.Client[v1.ChangeConfigurationRequest, v1.ChangeConfigurationResponse]
+	explainRoute        *connect.Client[v1.ExplainRouteRequest, v1.ExplainRouteResponse]
 	getStatus           *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
 	getDump             *connect.Client[v1.GetDumpRequest, v1.GetDumpResponse]
 	listVersions        *connect.Client[v1.ListVersionsRequest, v1.ListVersionsResponse]
@@ -139,6 +153,15 @@
 	return nil, err
 }
 
+// ExplainRoute calls amaranthdock.operator.v1.OperatorService.ExplainRoute.
+func (c *operatorServiceClient) ExplainRoute(ctx context.Context, req *v1.ExplainRouteRequest) (*v1.ExplainRouteResponse, error) {
+	response, err := c.explainRoute.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // GetStatus calls amaranthdock.operator.v1.OperatorService.GetStatus.
 func (c *operatorServiceClient) GetStatus(ctx context.Context, req *v1.GetStatusRequest) (*v1.GetStatusResponse, error) {
 	response, err := c.getStatus.CallUnary(ctx, connect.NewRequest(req))
@@ -176,6 +199,10 @@
 	// one. If a change with the same id has been accepted before, it returns the
 	// version of that change.
 	ChangeConfiguration(context.Context, *v1.ChangeConfigurationRequest) (*v1.ChangeConfigurationResponse, error)
+	// ExplainRoute returns where the proxy, as the entry, would send a request now,
+	// and why. It sends no statement, opens no connection to an endpoint and takes no
+	// token of a rate limit.
+	ExplainRoute(context.Context, *v1.ExplainRouteRequest) (*v1.ExplainRouteResponse, error)
 	// GetStatus returns the proxy's view of the fleet and the databases.
 	GetStatus(context.Context, *v1.GetStatusRequest) (*v1.GetStatusResponse, error)
 	// GetDump returns the state dump of the proxy process as JSON, without secrets.
@@ -203,6 +230,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ChangeConfiguration")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceExplainRouteHandler := connect.NewUnaryHandlerSimple(
+		OperatorServiceExplainRouteProcedure,
+		svc.ExplainRoute,
+		connect.WithSchema(operatorServiceMethods.ByName("ExplainRoute")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceGetStatusHandler := connect.NewUnaryHandlerSimple(
 		OperatorServiceGetStatusProcedure,
 		svc.GetStatus,
@@ -227,6 +260,8 @@
 			operatorServiceGetConfigurationHandler.ServeHTTP(w, r)
 		case OperatorServiceChangeConfigurationProcedure:
 			operatorServiceChangeConfigurationHandler.ServeHTTP(w, r)
+		case OperatorServiceExplainRouteProcedure:
+			operatorServiceExplainRouteHandler.ServeHTTP(w, r)
 		case OperatorServiceGetStatusProcedure:
 			operatorServiceGetStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceGetDumpProcedure:
@@ -250,6 +285,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthdock.operator.v1.OperatorService.ChangeConfiguration is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) ExplainRoute(context.Context, *v1.ExplainRouteRequest) (*v1.ExplainRouteResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthdock.operator.v1.OperatorService.ExplainRoute is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) GetStatus(context.Context, *v1.GetStatusRequest) (*v1.GetStatusResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthdock.operator.v1.OperatorService.GetStatus is not implemented"))
 }
--- a/api/amaranthdock/peer/v1/peerv1connect/peer.connect.go
+++ b/api/amaranthdock/peer/v1/peerv1connect/peer.connect.go
@@ -36,6 +36,8 @@
 const (
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/amaranthdock.peer.v1.PeerService/Forward"
+	// PeerServiceExplainStepProcedure is the fully-qualified name of the PeerService's ExplainStep RPC.
+	PeerServiceExplainStepProcedure = "/amaranthdock.peer.v1.PeerService/ExplainStep"
 	// PeerServiceGetDatabaseViewProcedure is the fully-qualified name of the PeerService's
 	// GetDatabaseView RPC.
 	PeerServiceGetDatabaseViewProcedure = "/amaranthdock.peer.v1.PeerService/GetDatabaseView"
@@ -61,6 +63,9 @@
 	// Forward runs one step of a request on the home VM of an endpoint. The rows of
 	// the response are sent in several messages.
 	Forward(context.Context, *v1.ForwardRequest) (*connect.ServerStreamForClient[v1.ForwardResponse], error)
+	// ExplainStep returns what the VM, as the home of an endpoint, would do with a
+	// step now. It runs nothing and opens no connection.
+	ExplainStep(context.Context, *v1.ForwardRequest) (*v1.ExplainStepResponse, error)
 	// GetDatabaseView returns what the VM knows about the members of a database.
 	GetDatabaseView(context.Context, *v1.GetDatabaseViewRequest) (*v1.DatabaseView, error)
 	// Probe is the heartbeat of the membership protocol. Requests and responses carry
@@ -97,6 +102,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		explainStep: connect.NewClient[v1.ForwardRequest, v1.ExplainStepResponse](
+			httpClient,
+			baseURL+PeerServiceExplainStepProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ExplainStep")),
+			connect.WithClientOptions(opts...),
+		),
 		getDatabaseView: connect.NewClient[v1.GetDatabaseViewRequest, v1.DatabaseView](
 			httpClient,
 			baseURL+PeerServiceGetDatabaseViewProcedure,
@@ -145,6 +156,7 @@
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	forward            *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	explainStep        *connect.Client[v1.ForwardRequest, v1.ExplainStepResponse]
 	getDatabaseView    *connect.Client[v1.GetDatabaseViewRequest, v1.DatabaseView]
 	probe              *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
 	probeOther         *connect.Client[v1.ProbeOtherRequest, v1.ProbeOtherResponse]
@@ -159,6 +171,15 @@
 	return c.forward.CallServerStream(ctx, connect.NewRequest(req))
 }
 
+// ExplainStep calls amaranthdock.peer.v1.PeerService.ExplainStep.
+func (c *peerServiceClient) ExplainStep(ctx context.Context, req *v1.ForwardRequest) (*v1.ExplainStepResponse, error) {
+	response, err := c.explainStep.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // GetDatabaseView calls amaranthdock.peer.v1.PeerService.GetDatabaseView.
 func (c *peerServiceClient) GetDatabaseView(ctx context.Context, req *v1.GetDatabaseViewRequest) (*v1.DatabaseView, error) {
 	response, err := c.getDatabaseView.CallUnary(ctx, connect.NewRequest(req))
@@ -227,6 +248,9 @@
 	// Forward runs one step of a request on the home VM of an endpoint. The rows of
 	// the response are sent in several messages.
 	Forward(context.Context, *v1.ForwardRequest, *connect.ServerStream[v1.ForwardResponse]) error
+	// ExplainStep returns what the VM, as the home of an endpoint, would do with a
+	// step now. It runs nothing and opens no connection.
+	ExplainStep(context.Context, *v1.ForwardRequest) (*v1.ExplainStepResponse, error)
 	// GetDatabaseView returns what the VM knows about the members of a database.
 	GetDatabaseView(context.Context, *v1.GetDatabaseViewRequest) (*v1.DatabaseView, error)
 	// Probe is the heartbeat of the membership protocol. Requests and responses carry
@@ -259,6 +283,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceExplainStepHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceExplainStepProcedure,
+		svc.ExplainStep,
+		connect.WithSchema(peerServiceMethods.ByName("ExplainStep")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceGetDatabaseViewHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceGetDatabaseViewProcedure,
 		svc.GetDatabaseView,
@@ -305,6 +335,8 @@
 		switch r.URL.Path {
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceExplainStepProcedure:
+			peerServiceExplainStepHandler.ServeHTTP(w, r)
 		case PeerServiceGetDatabaseViewProcedure:
 			peerServiceGetDatabaseViewHandler.ServeHTTP(w, r)
 		case PeerServiceProbeProcedure:
@@ -332,6 +364,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("amaranthdock.peer.v1.PeerService.Forward is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) ExplainStep(context.Context, *v1.ForwardRequest) (*v1.ExplainStepResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthdock.peer.v1.PeerService.ExplainStep is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) GetDatabaseView(context.Context, *v1.GetDatabaseViewRequest) (*v1.DatabaseView, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("amaranthdock.peer.v1.PeerService.GetDatabaseView is not implemented"))
 }
--- a/decision/routing/view.go
+++ b/decision/routing/view.go
@@ -16,6 +16,18 @@
 	RoleReplica
 )
 
+// String returns the role in camel case.
+func (r Role) String() string {
+	switch r {
+	case RolePrimary:
+		return "primary"
+	case RoleReplica:
+		return "replica"
+	default:
+		return "unknown"
+	}
+}
+
 // DatabaseView is what a VM knows about a database's members.
 type DatabaseView struct {
 	Database string
--- a/proxy/caller/authenticate.go
+++ b/proxy/caller/authenticate.go
@@ -44,7 +44,7 @@
 		return principal{}, keyError(refusal.KeyUnknown, "the request must have exactly one key")
 	}
 	if route != "" {
-		return principal{}, invalidRequest("route", "a request with a key must not name a route")
+		return principal{}, errKeyWithRoute()
 	}
 	key, ok := strings.CutPrefix(values[0], bearerPrefix)
 	if !ok {
@@ -53,6 +53,10 @@
 	return keyPrincipal(snapshot, key)
 }
 
+func errKeyWithRoute() error {
+	return invalidRequest("route", "a request with a key must not name a route")
+}
+
 // keyPrincipal returns the principal of a key. It compares hashes in constant time, and
 // also if the key id is unknown, so that the response time does not reveal which ids
 // exist.
@@ -93,6 +97,17 @@
 
 // authorize checks that the principal may run a command on a database.
 func (p principal) authorize(snapshot *declaration.Snapshot, database string, access callerv1.Access, command string) error {
+	if err := p.authorizeAccess(snapshot, database, access); err != nil {
+		return err
+	}
+	if p.route != nil && !slices.Contains(p.route.Commands, command) {
+		return notAllowedError("statement.command", "the route does not allow the command")
+	}
+	return nil
+}
+
+// authorizeAccess checks that the principal may access a database with some command.
+func (p principal) authorizeAccess(snapshot *declaration.Snapshot, database string, access callerv1.Access) error {
 	if p.route == nil {
 		if !snapshot.AllowsDatabase(p.workspace, database) {
 			return notAllowedError("database", "the workspace may not use the database")
@@ -105,9 +120,6 @@
 	if access != callerv1.Access_ACCESS_READ {
 		return notAllowedError("access", "the route allows only reads")
 	}
-	if !slices.Contains(p.route.Commands, command) {
-		return notAllowedError("statement.command", "the route does not allow the command")
-	}
 	return nil
 }
 
--- a/proxy/caller/dispatch.go
+++ b/proxy/caller/dispatch.go
@@ -37,6 +37,10 @@
 	read      bool
 	freshness routing.FreshnessRequirement
 	send      peer.SendRows
+	// forwarder receives the step, and views provides the views for its route. An
+	// explanation of a route replaces both.
+	forwarder Forwarder
+	views     *viewCache
 
 	// rowsSent is set once rows have been sent to the caller.
 	rowsSent bool
@@ -54,12 +58,24 @@
 	lastVM          string
 }
 
+// newStepDispatch returns the dispatch of a step.
+func (c *Caller) newStepDispatch(r *request, database string, forward *peerv1.ForwardRequest, send peer.SendRows) *dispatch {
+	return &dispatch{
+		request:    r,
+		database:   database,
+		forward:    forward,
+		send:       send,
+		forwarder:  c.config.Forwarder,
+		views:      c.views,
+		excluded:   map[string]bool{},
+		retryDelay: initialRetryDelay,
+	}
+}
+
 // run sends the step. It retries with newer views until the deadline if the step
 // certainly was not run or may be run twice. The result is never nil.
 func (c *Caller) run(ctx context.Context, d *dispatch) *peerv1.ForwardResult {
-	d.excluded = map[string]bool{}
-	d.retryDelay = initialRetryDelay
-	view := c.views.getOrRefresh(ctx, d.snapshot, d.database)
+	view := d.views.getOrRefresh(ctx, d.snapshot, d.database)
 	// Stop retrying early enough for the refusal to reach the caller.
 	retryCtx, cancel := timer.WithTimeout(ctx, c.config.Timer, c.remainingTime(d))
 	defer cancel()
@@ -69,7 +85,7 @@
 			return result
 		}
 		if redirect {
-			view = c.views.getOrRefresh(ctx, d.snapshot, d.database)
+			view = d.views.getOrRefresh(ctx, d.snapshot, d.database)
 			continue
 		}
 		var ok bool
@@ -105,34 +121,56 @@
 		if timer.Sleep(ctx, c.config.Timer, delay) != nil {
 			return routing.DatabaseView{}, false
 		}
-		clear(d.excluded)
-		view := c.views.refresh(ctx, d.snapshot, d.database)
-		to, ok := c.route(d, view).(routing.SendTo)
-		if !ok {
-			continue
-		}
-		newRoute := to.Endpoint != d.lastEndpoint || view.Term != d.lastTerm
-		if newRoute || d.homeNotReached || c.config.RetryBudget.TakeRetry(d.subject) {
+		view, hasRoute, needsBudget := c.retryRoute(ctx, d)
+		if hasRoute && (!needsBudget || c.config.RetryBudget.TakeRetry(d.subject)) {
 			return view, true
 		}
 	}
 }
 
+// retryRoute refreshes the view for a retry and reports whether the view has a route, and
+// whether a retry on it must be covered by the retry budget.
+func (c *Caller) retryRoute(ctx context.Context, d *dispatch) (view routing.DatabaseView, hasRoute, needsBudget bool) {
+	clear(d.excluded)
+	view = d.views.refresh(ctx, d.snapshot, d.database)
+	to, ok := c.route(d, view).(routing.SendTo)
+	if !ok {
+		return view, false, false
+	}
+	newRoute := to.Endpoint != d.lastEndpoint || view.Term != d.lastTerm
+	return view, true, !newRoute && !d.homeNotReached
+}
+
 // route returns the routing decision for the step.
 func (c *Caller) route(d *dispatch, view routing.DatabaseView) routing.Route {
-	endpoints := d.declaredEndpoints()
 	if !d.read {
-		return routing.RouteWrite(view, endpoints)
+		return routing.RouteWrite(view, d.declaredEndpoints())
+	}
+	return routing.RouteRead(c.readInput(d, view))
+}
+
+// explainRoute returns a verdict on each endpoint under the routing decision for the step.
+func (c *Caller) explainRoute(d *dispatch, view routing.DatabaseView) []routing.Verdict {
+	var verdicts []routing.Verdict
+	if d.read {
+		_, verdicts = routing.ExplainRead(c.readInput(d, view))
+	} else {
+		_, verdicts = routing.ExplainWrite(view, d.declaredEndpoints())
 	}
+	return verdicts
+}
+
+// readInput returns the input of the routing decision for a read.
+func (c *Caller) readInput(d *dispatch, view routing.DatabaseView) routing.ReadInput {
 	self := c.config.Directory.Self()
-	return routing.RouteRead(routing.ReadInput{
+	return routing.ReadInput{
 		View:                 view,
-		Endpoints:            endpoints,
+		Endpoints:            d.declaredEndpoints(),
 		DataCentre:           self.DataCentre,
 		Region:               self.Region,
 		FreshnessRequirement: d.freshness,
 		ExcludedEndpoints:    d.excluded,
-	})
+	}
 }
 
 // declaredEndpoints returns the declared endpoints of the step's database.
@@ -175,12 +213,12 @@
 	}
 	d.lastVM = vm
 	d.forward.Timeout = durationpb.New(timeout)
-	result := c.config.Forwarder.Forward(ctx, vm, d.forward, func(rows []*callerv1.Row) error {
+	result := d.forwarder.Forward(ctx, vm, d.forward, func(rows []*callerv1.Row) error {
 		d.rowsSent = true
 		return d.send(rows)
 	})
 	if result.GetView() != nil {
-		c.views.update(peer.DecodeView(result.GetView()))
+		d.views.update(peer.DecodeView(result.GetView()))
 	}
 	return result
 }
--- a/proxy/caller/fixture_test.go
+++ b/proxy/caller/fixture_test.go
@@ -22,6 +22,7 @@
 	"amaranthdock.dev/api/amaranthdock/caller/v1/callerv1connect"
 	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
+	"amaranthdock.dev/decision/limits"
 	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
@@ -56,12 +57,16 @@
 	// afterCurrent, if set, runs once after Current has taken a snapshot.
 	afterCurrent func()
 	changes      chan struct{}
+	explain      func(vm string, request *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error)
+	explained    []*peerv1.ForwardRequest
 	forwarded    []*peerv1.ForwardRequest
 	home         func(ctx context.Context, request *peerv1.ForwardRequest, send peer.SendRows) *peerv1.ForwardResult
 	incarnation  uint64
-	logged       strings.Builder
-	revoked      map[string]bool
-	stale        bool
+	// live contains the live VMs; nil for this VM only.
+	live    []routing.VM
+	logged  strings.Builder
+	revoked map[string]bool
+	stale   bool
 	// clockStep is the interval by which await advances the clock.
 	clockStep time.Duration
 	view      routing.DatabaseView
@@ -69,6 +74,17 @@
 
 func (f *fixture) Admit(context.Context, string) error { return f.admitErr }
 
+func (f *fixture) Evaluate(string) (limits.Admission, error) {
+	return limits.Admission{Limit: limits.Limit{Rate: 5}}, f.admitErr
+}
+
+func (f *fixture) Explain(_ context.Context, vm string, request *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.explained = append(f.explained, request)
+	return f.explain(vm, request)
+}
+
 func (f *fixture) Authorized() bool { return !f.stale }
 
 func (f *fixture) Current() *declaration.Snapshot {
@@ -93,7 +109,12 @@
 	return f.incarnation, true
 }
 
-func (f *fixture) Live() []routing.VM { return []routing.VM{f.Self()} }
+func (f *fixture) Live() []routing.VM {
+	if f.live != nil {
+		return f.live
+	}
+	return []routing.VM{f.Self()}
+}
 
 func (f *fixture) Self() routing.VM { return routing.VM{Name: "v", DataCentre: "x", Region: "y"} }
 
@@ -204,6 +225,7 @@
 		Configuration: f,
 		Dial:          peer.NewClients(peer.ClientConfig{}).Dial,
 		Directory:     f,
+		Explainer:     f,
 		Forwarder:     f,
 		Limiter:       f,
 		Log:           log,
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -20,6 +20,7 @@
 	"amaranthdock.dev/api/amaranthdock/caller/v1/callerv1connect"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
+	"amaranthdock.dev/decision/limits"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/decision/session"
@@ -56,9 +57,20 @@
 	Forward(ctx context.Context, vm string, request *peerv1.ForwardRequest, send peer.SendRows) *peerv1.ForwardResult
 }
 
+// Explainer asks the homes of endpoints what they would do with steps. It is implemented
+// by the Forwarder of the proxy.
+type Explainer interface {
+	// Explain returns what Forward would lead to, without running the step. If the VM
+	// does not answer, it returns an error, together with the refusal of Forward if that
+	// is certain.
+	Explain(ctx context.Context, vm string, request *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error)
+}
+
 // Limiter admits requests within the rate and burst of their subject.
 type Limiter interface {
 	Admit(ctx context.Context, subject string) error
+	// Evaluate returns how Admit would admit a request now, without effects.
+	Evaluate(subject string) (limits.Admission, error)
 }
 
 // Observer provides this VM's views of the databases.
@@ -83,6 +95,7 @@
 	Configuration   Configuration
 	Dial            func(address netip.AddrPort) peerv1connect.PeerServiceClient
 	Directory       Directory
+	Explainer       Explainer
 	Forwarder       Forwarder
 	Limiter         Limiter
 	Log             logr.Logger
@@ -109,9 +122,9 @@
 
 // New returns a Caller. The caller must also call Run, which does the background work.
 func New(config Config) (*Caller, error) {
-	if config.Configuration == nil || config.Dial == nil || config.Directory == nil || config.Forwarder == nil ||
+	if config.Configuration == nil || config.Dial == nil || config.Directory == nil || config.Explainer == nil || config.Forwarder == nil ||
 		config.Limiter == nil || config.Observer == nil || config.Signer == nil || config.Timer == nil {
-		return nil, eris.New("caller: Config lacks Configuration, Dial, Directory, Forwarder, Limiter, Observer, Signer or Timer")
+		return nil, eris.New("caller: Config lacks Configuration, Dial, Directory, Explainer, Forwarder, Limiter, Observer, Signer or Timer")
 	}
 	if config.MaxRequestBytes == 0 {
 		config.MaxRequestBytes = DefaultMaxRequestBytes
--- a/proxy/caller/outcome.go
+++ b/proxy/caller/outcome.go
@@ -42,12 +42,7 @@
 
 // lookUpOutcome queries the home of the primary for the outcome of the request.
 func (c *Caller) lookUpOutcome(ctx context.Context, r *request, database string, send peer.SendRows) *peerv1.ForwardResult {
-	d := &dispatch{
-		request:  r,
-		database: database,
-		forward:  r.forwardRequest(database, endpointv1.Verb_VERB_UNSPECIFIED),
-		send:     send,
-	}
+	d := c.newStepDispatch(r, database, r.forwardRequest(database, endpointv1.Verb_VERB_UNSPECIFIED), send)
 	d.forward.LookUpOutcome = true
 	return c.run(ctx, d)
 }
--- a/proxy/caller/request.go
+++ b/proxy/caller/request.go
@@ -61,17 +61,14 @@
 	if err != nil {
 		return r, ctx, noCancel, err
 	}
-	if r.route == nil && !authorized {
-		return r, ctx, noCancel, refusal.NewNotRun(refusal.ConfigurationStale, "the proxy's configuration is too old to check for revoked keys")
+	if err := r.checkAuthority(authorized); err != nil {
+		return r, ctx, noCancel, err
 	}
 	if len(r.id) > maxRequestIDBytes {
 		return r, ctx, noCancel, invalidRequest("requestId", "the request id is too long")
 	}
 	now := c.config.Timer.Now()
-	remaining := r.snapshot.Preset().Deadline
-	if remaining <= 0 {
-		remaining = declaration.DefaultDeadline
-	}
+	remaining := defaultTimeout(r.snapshot)
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining = deadline.Sub(now)
 	}
@@ -83,6 +80,22 @@
 	return r, ctx, cancel, nil
 }
 
+// checkAuthority refuses a request with a key if the configuration may lack revocations.
+func (p principal) checkAuthority(authorized bool) error {
+	if p.route == nil && !authorized {
+		return refusal.NewNotRun(refusal.ConfigurationStale, "the proxy's configuration is too old to check for revoked keys")
+	}
+	return nil
+}
+
+// defaultTimeout returns the time limit of a request that states none.
+func defaultTimeout(snapshot *declaration.Snapshot) time.Duration {
+	if timeout := snapshot.Preset().Deadline; timeout > 0 {
+		return timeout
+	}
+	return declaration.DefaultDeadline
+}
+
 // admit counts the request against its subject's rate limit, or refuses it.
 func (c *Caller) admit(ctx context.Context, r *request) error {
 	if err := c.config.Limiter.Admit(ctx, r.subject); err != nil {
--- a/proxy/caller/statements.go
+++ b/proxy/caller/statements.go
@@ -107,13 +107,8 @@
 
 // newDispatch returns the dispatch of a statement outside of a transaction.
 func (c *Caller) newDispatch(r *request, execute *callerv1.ExecuteRequest, database string, send peer.SendRows) *dispatch {
-	d := &dispatch{
-		request:  r,
-		database: database,
-		forward:  r.forwardRequest(database, endpointv1.Verb_VERB_EXECUTE),
-		read:     execute.GetAccess() == callerv1.Access_ACCESS_READ,
-		send:     send,
-	}
+	d := c.newStepDispatch(r, database, r.forwardRequest(database, endpointv1.Verb_VERB_EXECUTE), send)
+	d.read = execute.GetAccess() == callerv1.Access_ACCESS_READ
 	d.forward.Access = execute.GetAccess()
 	d.forward.Statement = execute.GetStatement()
 	d.forward.Idempotent = execute.GetIdempotent()
--- a/proxy/caller/transactions.go
+++ b/proxy/caller/transactions.go
@@ -32,13 +32,7 @@
 	if err != nil {
 		return nil, c.refuseRequest(r, err)
 	}
-	d := &dispatch{
-		request:  r,
-		database: begin.GetDatabase(),
-		forward:  r.forwardRequest(begin.GetDatabase(), endpointv1.Verb_VERB_BEGIN),
-		send:     func([]*callerv1.Row) error { return nil },
-	}
-	d.forward.Access = callerv1.Access_ACCESS_WRITE
+	d := c.newBeginDispatch(r, begin.GetDatabase())
 	result := c.run(ctx, d)
 	if refused := peer.DecodeRefusal(result); refused != nil {
 		return nil, c.refuseRequest(r, refused)
@@ -64,6 +58,13 @@
 	}, nil
 }
 
+// newBeginDispatch returns the dispatch of the begin of a transaction.
+func (c *Caller) newBeginDispatch(r *request, database string) *dispatch {
+	d := c.newStepDispatch(r, database, r.forwardRequest(database, endpointv1.Verb_VERB_BEGIN), discardRows)
+	d.forward.Access = callerv1.Access_ACCESS_WRITE
+	return d
+}
+
 // Commit commits an open transaction.
 func (c *Caller) Commit(ctx context.Context, commit *callerv1.CommitRequest) (*callerv1.CommitResponse, error) {
 	r, ctx, cancel, err := c.startRequest(ctx, commit.GetRequestId(), "")
@@ -182,11 +183,7 @@
 		c.transactions.remove(handle)
 		return peer.EncodeRefusal(homeGoneError(forward))
 	}
-	return c.forward(ctx, handle.VM, &dispatch{
-		request: r,
-		forward: forward,
-		send:    send,
-	})
+	return c.forward(ctx, handle.VM, c.newStepDispatch(r, handle.Database, forward, send))
 }
 
 func discardRows([]*callerv1.Row) error { return nil }
--- a/proxy/caller/views.go
+++ b/proxy/caller/views.go
@@ -47,6 +47,26 @@
 	}
 }
 
+// copyOf returns a cache with this cache's view of one database. The use of the copy does
+// not change this cache.
+func (v *viewCache) copyOf(database string) *viewCache {
+	copied := newViewCache(v.config)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known, ok := v.cached[database]; ok {
+		copied.cached[database] = known
+	}
+	return copied
+}
+
+// age returns the time since the view of a database was cached; false if there is none.
+func (v *viewCache) age(database string) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known, ok := v.cached[database]
+	return v.config.Timer.Now().Sub(known.updatedAt), ok
+}
+
 // getOrRefresh returns the cached view of a database. It queries the homes if there
 // is none.
 func (v *viewCache) getOrRefresh(ctx context.Context, snapshot *declaration.Snapshot, database string) routing.DatabaseView {
--- a/proxy/components.go
+++ b/proxy/components.go
@@ -241,6 +241,7 @@
 		Configuration: b.components.gossip,
 		Dial:          b.peers.Dial,
 		Directory:     b.components.gossip,
+		Explainer:     forwarder,
 		Forwarder:     forwarder,
 		Limiter:       b.components.lending,
 		Log:           b.logger.WithName("caller"),
@@ -263,6 +264,7 @@
 		Configuration: b.components.gossip,
 		Observer:      b.components.failover,
 		Dumps:         b.components.dumps,
+		Explainer:     b.components.caller,
 		Dial:          b.peers.Dial,
 	})
 	b.components.operator = handler
--- a/proxy/endpoint/client.go
+++ b/proxy/endpoint/client.go
@@ -25,6 +25,11 @@
 	maxWait     time.Duration
 }
 
+// pinLimit returns the maximum number of connections that transactions hold.
+func (s clientSettings) pinLimit() int {
+	return max(1, s.connections-s.slots)
+}
+
 // endpointClient sends steps to one endpoint. It consists of a queue, one worker for
 // each slot of the endpoint and a connection pool.
 type endpointClient struct {
@@ -159,14 +164,8 @@
 	c.lastID++
 	item.ID = c.lastID
 	queued.id = item.ID
-	decision := c.queue.Enqueue(item.ArrivedAt, item)
-	if refused, ok := decision.(scheduling.Refused); ok {
-		return &refusal.Error{
-			Outcome:    refusal.NotRun,
-			Reason:     refused.Reason,
-			Message:    "the queue of the endpoint refused the step",
-			RetryAfter: refused.RetryAfter,
-		}
+	if err := queueError(c.queue.Enqueue(item.ArrivedAt, item)); err != nil {
+		return err
 	}
 	c.tasks[item.ID] = queued
 	select {
@@ -177,6 +176,21 @@
 	return nil
 }
 
+// queueError returns the error for a decision on an arriving step; nil if the step was
+// accepted.
+func queueError(decision scheduling.Decision) error {
+	refused, ok := decision.(scheduling.Refused)
+	if !ok {
+		return nil
+	}
+	return &refusal.Error{
+		Outcome:    refusal.NotRun,
+		Reason:     refused.Reason,
+		Message:    "the queue of the endpoint refused the step",
+		RetryAfter: refused.RetryAfter,
+	}
+}
+
 // remove removes a task from the queue; false if the task is no longer queued.
 func (c *endpointClient) remove(queued *task) bool {
 	c.mu.Lock()
--- a/proxy/endpoint/clients.go
+++ b/proxy/endpoint/clients.go
@@ -13,28 +13,40 @@
 // fallback home. The client counts a step in flight until the returned function is
 // called.
 func (h *Home) acquireClient(snapshot *declaration.Snapshot, endpoint string) (*endpointClient, func(), error) {
-	declared, ok := snapshot.Endpoint(endpoint)
-	if !ok {
-		return nil, nil, refusal.NewNotRun(refusal.NotReady, "the endpoint is not in the configuration of its home")
+	declared, role, err := h.checkHome(snapshot, endpoint)
+	if err != nil {
+		return nil, nil, err
 	}
-	switch h.role(snapshot, declared) {
-	case firstHome:
-	case fallbackHome:
-		if database, ok := snapshot.DatabaseOf(endpoint); ok {
-			h.config.Observer.WatchTemporarily(database.Name)
-		}
-	default:
-		return nil, nil, refusal.NewNotRun(refusal.NotHome, "the VM is not the home of the endpoint")
+	if database, ok := snapshot.DatabaseOf(endpoint); ok && role == fallbackHome {
+		h.config.Observer.WatchTemporarily(database.Name)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.draining {
-		return nil, nil, refusal.NewNotRun(refusal.NotHome, "the VM is leaving")
+		return nil, nil, errLeaving()
 	}
 	client := h.clientFor(snapshot, declared)
 	return client, client.inFlight.Begin(), nil
 }
 
+// checkHome returns the declaration of an endpoint and the role of this VM as its home, or
+// a refusal if this VM is not one of its homes.
+func (h *Home) checkHome(snapshot *declaration.Snapshot, endpoint string) (*declaration.Endpoint, homeRole, error) {
+	declared, ok := snapshot.Endpoint(endpoint)
+	if !ok {
+		return nil, notHome, refusal.NewNotRun(refusal.NotReady, "the endpoint is not in the configuration of its home")
+	}
+	role := h.role(snapshot, declared)
+	if role == notHome {
+		return nil, notHome, refusal.NewNotRun(refusal.NotHome, "the VM is not the home of the endpoint")
+	}
+	return declared, role, nil
+}
+
+func errLeaving() error {
+	return refusal.NewNotRun(refusal.NotHome, "the VM is leaving")
+}
+
 // homeRole is the role of this VM as a home of an endpoint.
 type homeRole int
 
@@ -76,11 +88,7 @@
 // the client's settings have changed; the old client is kept in retired until its
 // steps have ended. The caller holds h.mu.
 func (h *Home) clientFor(snapshot *declaration.Snapshot, declared *declaration.Endpoint) *endpointClient {
-	settings := clientSettings{
-		slots:       max(1, declared.Slots),
-		connections: max(1, declared.Connections/2),
-		maxWait:     snapshot.Preset().MaxQueueWait,
-	}
+	settings := settingsFor(snapshot, declared)
 	client, ok := h.clients[declared.Name]
 	if ok && client.settings == settings {
 		client.pool.setAddress(declared.Address)
@@ -94,7 +102,7 @@
 		base:     h.base,
 		dial:     h.config.Dial,
 		limit:    settings.connections,
-		pinLimit: max(1, settings.connections-settings.slots),
+		pinLimit: settings.pinLimit(),
 		proxy:    h.config.Directory.Self().Name,
 		timer:    h.config.Timer,
 	})
@@ -107,6 +115,15 @@
 	return client
 }
 
+// settingsFor returns the settings of the client of an endpoint.
+func settingsFor(snapshot *declaration.Snapshot, declared *declaration.Endpoint) clientSettings {
+	return clientSettings{
+		slots:       max(1, declared.Slots),
+		connections: max(1, declared.Connections/2),
+		maxWait:     snapshot.Preset().MaxQueueWait,
+	}
+}
+
 // reconcile creates the clients of the endpoints whose first home is this VM, opens
 // connections in advance and closes clients that are no longer needed.
 func (h *Home) reconcile(ctx context.Context) {
--- a/proxy/endpoint/execute.go
+++ b/proxy/endpoint/execute.go
@@ -29,20 +29,15 @@
 
 // execute runs a step and returns its result and rows.
 func (h *Home) execute(ctx context.Context, request *peerv1.ForwardRequest) (*peerv1.ForwardResult, []*callerv1.Row, error) {
-	s := &step{
-		ForwardRequest: request,
-		deadline:       h.config.Timer.Now().Add(request.GetTimeout().AsDuration()),
-		snapshot:       h.config.Configuration.Current(),
-	}
-	if s.snapshot == nil {
-		return nil, nil, refusal.NewNotRun(refusal.NotReady, "the home has no configuration yet")
+	s, err := h.newStep(request)
+	if err != nil {
+		return nil, nil, err
 	}
 	if request.GetTransactionId() != "" {
 		return h.continueTransaction(ctx, s)
 	}
-	database, ok := s.snapshot.DatabaseOf(request.GetEndpoint())
-	if ok && database.Name != request.GetDatabase() {
-		return nil, nil, refusal.NewNotRun(refusal.InvalidRequest, "the endpoint belongs to another database")
+	if err := s.checkDatabase(); err != nil {
+		return nil, nil, err
 	}
 	client, release, err := h.acquireClient(s.snapshot, request.GetEndpoint())
 	if err != nil {
@@ -66,6 +61,28 @@
 	}
 }
 
+// newStep returns the step of a request, or a refusal if there is no configuration.
+func (h *Home) newStep(request *peerv1.ForwardRequest) (*step, error) {
+	snapshot := h.config.Configuration.Current()
+	if snapshot == nil {
+		return nil, refusal.NewNotRun(refusal.NotReady, "the home has no configuration yet")
+	}
+	return &step{
+		ForwardRequest: request,
+		deadline:       h.config.Timer.Now().Add(request.GetTimeout().AsDuration()),
+		snapshot:       snapshot,
+	}, nil
+}
+
+// checkDatabase returns a refusal if the endpoint belongs to another database.
+func (s *step) checkDatabase() error {
+	database, ok := s.snapshot.DatabaseOf(s.GetEndpoint())
+	if ok && database.Name != s.GetDatabase() {
+		return refusal.NewNotRun(refusal.InvalidRequest, "the endpoint belongs to another database")
+	}
+	return nil
+}
+
 // write runs a write at the primary and waits until it is durable. The slot and the
 // connection are released before this wait.
 func (h *Home) write(ctx context.Context, s *step) (*peerv1.ForwardResult, []*callerv1.Row, error) {
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -47,6 +47,10 @@
 	return scheduling.Enqueued{}
 }
 
+func (q *fifo) Evaluate(time.Time, scheduling.Item) (scheduling.Decision, time.Duration) {
+	return scheduling.Enqueued{}, 0
+}
+
 func (q *fifo) ExpectedWait(time.Time, string) time.Duration { return 0 }
 
 func (q *fifo) ReleaseUnmeasured(uint64) { q.running-- }
--- a/proxy/endpoint/pool.go
+++ b/proxy/endpoint/pool.go
@@ -68,11 +68,8 @@
 // it refuses immediately: the caller occupies a slot that the next steps of these
 // transactions need, so waiting could block both until their deadlines.
 func (p *pool) acquire(ctx context.Context) (*connection, error) {
-	p.mu.Lock()
-	allPinned := p.pinned >= p.config.limit
-	p.mu.Unlock()
-	if allPinned {
-		return nil, refusal.NewNotRun(refusal.Overloaded, "transactions hold all connections to the endpoint")
+	if err := p.checkPinned(); err != nil {
+		return nil, err
 	}
 	if err := p.connectionPermits.Acquire(ctx, 1); err != nil {
 		return nil, refusal.NewNotRun(refusal.QueueTimeout, "no connection to the endpoint was free in time")
@@ -84,6 +81,16 @@
 	return p.connect(ctx, address)
 }
 
+// checkPinned returns a refusal if transactions hold all connections.
+func (p *pool) checkPinned() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pinned >= p.config.limit {
+		return refusal.NewNotRun(refusal.Overloaded, "transactions hold all connections to the endpoint")
+	}
+	return nil
+}
+
 // connect opens a connection. If it fails, it releases the permit.
 func (p *pool) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	ctx, cancel := timer.WithTimeout(ctx, p.config.timer, openTimeout)
@@ -99,11 +106,15 @@
 // pin acquires a permit to hold a connection for a transaction.
 func (p *pool) pin(ctx context.Context) error {
 	if err := p.pinPermits.Acquire(ctx, 1); err != nil {
-		return refusal.NewNotRun(refusal.Overloaded, "too many transactions are open at the endpoint")
+		return errTooManyTransactions()
 	}
 	return nil
 }
 
+func errTooManyTransactions() error {
+	return refusal.NewNotRun(refusal.Overloaded, "too many transactions are open at the endpoint")
+}
+
 // addPinned adds to the number of connections that transactions hold.
 func (p *pool) addPinned(delta int) {
 	p.mu.Lock()
--- a/proxy/endpoint/queue.go
+++ b/proxy/endpoint/queue.go
@@ -11,6 +11,9 @@
 type Queue interface {
 	// Enqueue adds a step to the queue. The decision is Enqueued or Refused.
 	Enqueue(now time.Time, item scheduling.Item) scheduling.Decision
+	// Evaluate returns the decision of Enqueue and the expected wait of the step, without
+	// changing the queue.
+	Evaluate(now time.Time, item scheduling.Item) (scheduling.Decision, time.Duration)
 	// ExpectedWait estimates the queue wait of a step that arrives now.
 	ExpectedWait(now time.Time, subject string) time.Duration
 	// ReleaseUnmeasured frees the slot of a step to which the endpoint did not respond.
--- a/proxy/operator/operator.go
+++ b/proxy/operator/operator.go
@@ -73,6 +73,13 @@
 	JSON() ([]byte, error)
 }
 
+// Explainer explains the routes of requests to this VM.
+type Explainer interface {
+	// ExplainRoute sends no statement and opens no connection to an endpoint. Its errors
+	// are refusals.
+	ExplainRoute(ctx context.Context, request *operatorv1.ExplainRouteRequest) (*operatorv1.ExplainRouteResponse, error)
+}
+
 // Config configures an Operator; all fields are required.
 type Config struct {
 	Timer         timer.Service
@@ -83,6 +90,7 @@
 	Configuration Configuration
 	Observer      Observer
 	Dumps         Dumps
+	Explainer     Explainer
 	Dial          func(address netip.AddrPort) peerv1connect.PeerServiceClient
 }
 
@@ -92,20 +100,22 @@
 	logger         logr.Logger
 	changes        metrics.Counter
 	conflicts      metrics.Counter
+	explanations   metrics.Counter
 	unknownChanges metrics.Counter
 }
 
 // New returns an Operator.
 func New(config Config) (*Operator, error) {
 	if config.Timer == nil || config.Store == nil || config.Directory == nil || config.Configuration == nil ||
-		config.Observer == nil || config.Dumps == nil || config.Dial == nil {
-		return nil, eris.New("operator: Config lacks Timer, Store, Directory, Configuration, Observer, Dumps or Dial")
+		config.Observer == nil || config.Dumps == nil || config.Explainer == nil || config.Dial == nil {
+		return nil, eris.New("operator: Config lacks Timer, Store, Directory, Configuration, Observer, Dumps, Explainer or Dial")
 	}
 	return &Operator{
 		config:         config,
 		logger:         config.Logger.WithName("operator"),
 		changes:        metrics.GetOrRegisterCounter("operator.changes", config.Registry),
 		conflicts:      metrics.GetOrRegisterCounter("operator.conflicts", config.Registry),
+		explanations:   metrics.GetOrRegisterCounter("operator.explanations", config.Registry),
 		unknownChanges: metrics.GetOrRegisterCounter("operator.unknownChanges", config.Registry),
 	}, nil
 }
@@ -118,14 +128,8 @@
 // GetDump returns the state dump of this VM. Dumps of other VMs have to be requested
 // from their own operator listeners, because the peer protocol has no call for them.
 func (o *Operator) GetDump(_ context.Context, r *operatorv1.GetDumpRequest) (*operatorv1.GetDumpResponse, error) {
-	self := o.config.Directory.Self().Name
-	if r.GetVm() != "" && r.GetVm() != self {
-		return nil, o.refusalError(connect.CodeInvalidArgument, &refusal.Error{
-			Outcome: refusal.NotRun,
-			Reason:  refusal.InvalidRequest,
-			Message: "this is " + self + "; send the request to the operator listener of " + r.GetVm(),
-			Field:   "vm",
-		})
+	if err := o.checkVM(r.GetVm()); err != nil {
+		return nil, err
 	}
 	dump, err := o.config.Dumps.JSON()
 	if err != nil {
@@ -134,6 +138,20 @@
 	return &operatorv1.GetDumpResponse{Dump: dump}, nil
 }
 
+// checkVM returns an error if a request is for another VM.
+func (o *Operator) checkVM(vm string) error {
+	self := o.config.Directory.Self().Name
+	if vm == "" || vm == self {
+		return nil
+	}
+	return o.refusalError(connect.CodeInvalidArgument, &refusal.Error{
+		Outcome: refusal.NotRun,
+		Reason:  refusal.InvalidRequest,
+		Message: "this is " + self + "; send the request to the operator listener of " + vm,
+		Field:   "vm",
+	})
+}
+
 // currentVersion returns the version of this VM's snapshot of the configuration; 0 if
 // it has none yet.
 func (o *Operator) currentVersion() uint64 {
--- a/proxy/operator/operator_test.go
+++ b/proxy/operator/operator_test.go
@@ -92,6 +92,8 @@
 	snapshot *declaration.Snapshot
 	// noFreshView makes FetchView fail.
 	noFreshView bool
+	// explainErr is the error of ExplainRoute.
+	explainErr error
 }
 
 func (f *fakeFleet) Address(vm string) (netip.AddrPort, bool) {
@@ -162,6 +164,7 @@
 			Configuration: fleet,
 			Observer:      fleet,
 			Dumps:         fleet,
+			Explainer:     fleet,
 			Dial:          func(netip.AddrPort) peerv1connect.PeerServiceClient { return fakePeer{} },
 		})
 		Expect(err).NotTo(HaveOccurred())
--- a/proxy/operator/status.go
+++ b/proxy/operator/status.go
@@ -111,7 +111,7 @@
 		home, _ := routing.Home(endpoint.Name, endpoint.DataCentre, current.RegionOf(endpoint.DataCentre), live)
 		memberStatus := &operatorv1.MemberStatus{
 			Endpoint:  endpoint.Name,
-			Role:      roleName(member.Role),
+			Role:      member.Role.String(),
 			Reachable: member.Reachable,
 			Term:      member.LastPosition.Term,
 			Index:     member.LastPosition.Index,
@@ -151,14 +151,3 @@
 	version.Answered = true
 	return version
 }
-
-func roleName(role routing.Role) string {
-	switch role {
-	case routing.RolePrimary:
-		return "primary"
-	case routing.RoleReplica:
-		return "replica"
-	default:
-		return "unknown"
-	}
-}
--- a/proxy/peer/forwarder.go
+++ b/proxy/peer/forwarder.go
@@ -25,6 +25,8 @@
 // LocalExecutor runs steps whose endpoint has its home on this VM. Execute passes the
 // rows to send in order, and never returns nil.
 type LocalExecutor interface {
+	// ExplainStep returns what Execute would do with a step, without effects.
+	ExplainStep(ctx context.Context, request *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error)
 	Execute(ctx context.Context, request *peerv1.ForwardRequest, send SendRows) *peerv1.ForwardResult
 }
 
@@ -60,7 +62,7 @@
 	}
 	address, ok := f.config.Directory.Address(vm)
 	if !ok {
-		return EncodeRefusal(refusal.NewNotRun(refusal.Unreachable, "the address of the endpoint's home VM is unknown"))
+		return EncodeRefusal(errAddressUnknown())
 	}
 	if ctx.Err() != nil {
 		return EncodeRefusal(refusal.NewNotRun(refusal.DeadlineExceeded, "the request ended before it was forwarded"))
@@ -68,6 +70,33 @@
 	return f.forwardRemote(ctx, f.config.Dial(address), request, send)
 }
 
+// Explain returns what Forward would lead to, without running the step. If the VM does
+// not answer, it returns an error, together with the refusal of Forward if that is
+// certain.
+func (f *Forwarder) Explain(ctx context.Context, vm string, request *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error) {
+	if vm == f.config.Directory.Self().Name {
+		return f.config.LocalExecutor.ExplainStep(ctx, request)
+	}
+	address, ok := f.config.Directory.Address(vm)
+	if !ok {
+		refused := errAddressUnknown()
+		return &peerv1.ExplainStepResponse{Result: EncodeRefusal(refused)}, refused
+	}
+	response, err := f.config.Dial(address).ExplainStep(ctx, request)
+	if NeverSent(err) {
+		response = &peerv1.ExplainStepResponse{Result: EncodeRefusal(errNotReachable())}
+	}
+	return response, err
+}
+
+func errAddressUnknown() *refusal.Error {
+	return refusal.NewNotRun(refusal.Unreachable, "the address of the endpoint's home VM is unknown")
+}
+
+func errNotReachable() *refusal.Error {
+	return refusal.NewNotRun(refusal.Unreachable, "the endpoint's home VM is not reachable")
+}
+
 func (f *Forwarder) forwardRemote(ctx context.Context, client peerv1connect.PeerServiceClient, request *peerv1.ForwardRequest, send SendRows) *peerv1.ForwardResult {
 	// The cancellation ends the stream if send fails before all rows are received.
 	ctx, cancel := context.WithCancel(ctx)
@@ -115,7 +144,7 @@
 // transportFailure returns the result of a step whose call to the home VM failed.
 func transportFailure(ctx context.Context, err error) *peerv1.ForwardResult {
 	if NeverSent(err) {
-		return EncodeRefusal(refusal.NewNotRun(refusal.Unreachable, "the endpoint's home VM is not reachable"))
+		return EncodeRefusal(errNotReachable())
 	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return EncodeRefusal(refusal.NewUnknown(refusal.DeadlineExceeded, "the deadline passed while the step ran on the endpoint's home VM"))
--- a/proxy/peer/handler.go
+++ b/proxy/peer/handler.go
@@ -29,6 +29,7 @@
 
 // Forwarding runs steps on the home VM of their endpoint.
 type Forwarding interface {
+	ExplainStep(context.Context, *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error)
 	Forward(context.Context, *peerv1.ForwardRequest, *connect.ServerStream[peerv1.ForwardResponse]) error
 }
 
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -49,6 +49,10 @@
 
 type fakeExecutor struct{}
 
+func (fakeExecutor) ExplainStep(context.Context, *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error) {
+	return &peerv1.ExplainStepResponse{}, nil
+}
+
 func (fakeExecutor) Execute(context.Context, *peerv1.ForwardRequest, peer.SendRows) *peerv1.ForwardResult {
 	return &peerv1.ForwardResult{Outcome: callerv1.Outcome_OUTCOME_DONE}
 }
@@ -156,6 +160,32 @@
 		Expect(count("peer.client.bytesRead")).To(BeNumerically(">", count("peer.forward.bytesReceived")))
 	})
 
+	It("explains a step at this VM, and knows no more of a VM of an older build", func() {
+		// Guards against an older build that is asked to run the step instead.
+		address, _ := startHome(&fakeHome{forward: func(context.Context, *connect.ServerStream[peerv1.ForwardResponse]) error {
+			defer GinkgoRecover()
+			Fail("the step was forwarded")
+			return nil
+		}})
+		forwarder := newForwarder(address)
+		response, err := forwarder.Explain(context.Background(), "self", &peerv1.ForwardRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response).NotTo(BeNil())
+		response, err = forwarder.Explain(context.Background(), "other", &peerv1.ForwardRequest{})
+		Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnimplemented))
+		Expect(response).To(BeNil())
+	})
+
+	It("explains a step to a closed port or to an unknown VM as Forward refuses it", func() {
+		address, end := startHome(&fakeHome{})
+		end()
+		for _, known := range []netip.AddrPort{address, {}} {
+			response, err := newForwarder(known).Explain(context.Background(), "other", &peerv1.ForwardRequest{})
+			Expect(err).To(HaveOccurred())
+			expectRefusal(response.GetResult(), refusal.NotRun, refusal.Unreachable)
+		}
+	})
+
 	It("reports a request to a closed port as not run", func() {
 		address, end := startHome(&fakeHome{})
 		end()
--- a/proxy/peer/traffic.go
+++ b/proxy/peer/traffic.go
@@ -26,6 +26,7 @@
 var purposes = map[string]string{
 	path.Base(peerv1connect.PeerServiceBorrowProcedure):           PurposeLending,
 	path.Base(peerv1connect.PeerServiceConfirmSuspicionProcedure): PurposeFailover,
+	path.Base(peerv1connect.PeerServiceExplainStepProcedure):      PurposeForward,
 	path.Base(peerv1connect.PeerServiceForwardProcedure):          PurposeForward,
 	path.Base(peerv1connect.PeerServiceGetDatabaseViewProcedure):  PurposeFailover,
 }
