Add amaranthctl route explain

The command prints the route of a request, its refusal, the candidates with the reasons against them and the age of the data, as text or JSON. The fixture of the command tests moves to its own file, so that the new tests can use it; the checks in the existing tests are unchanged.

--- a/amaranthctl/commands/app.go
+++ b/amaranthctl/commands/app.go
@@ -94,6 +94,7 @@
 	a.addKey(k)
 	a.addPlan(k)
 	a.addPreset(k)
+	a.addRoute(k)
 	a.addShow(k)
 	a.addStatus(k)
 	a.addTimeline(k)
--- a/amaranthctl/commands/commands_test.go
+++ b/amaranthctl/commands/commands_test.go
@@ -1,7 +1,6 @@
 package commands_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"encoding/pem"
@@ -13,18 +12,15 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"amaranthdock.dev/amaranthctl/commands"
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
 	operatorv1 "amaranthdock.dev/api/amaranthdock/operator/v1"
 	"amaranthdock.dev/api/amaranthdock/operator/v1/operatorv1connect"
 	"amaranthdock.dev/declaration"
-	"amaranthdock.dev/timer"
 )
 
 func TestCommands(t *testing.T) {
@@ -47,6 +43,7 @@
 	// lost.
 	failRepeats  bool
 	changeIDs    []string
+	explained    []*operatorv1.ExplainRouteRequest
 	versionCalls int
 }
 
@@ -106,16 +103,21 @@
 	if request.GetVm() == "" || request.GetVm() == "vm-1" {
 		return &operatorv1.GetDumpResponse{Dump: []byte(`{"vm":"vm-1"}`)}, nil
 	}
+	return nil, wrongVMError()
+}
+
+// wrongVMError returns the error of a request for another VM.
+func wrongVMError() error {
 	refusal := connect.NewError(connect.CodeInvalidArgument, errors.New("this is vm-1"))
 	detail, err := connect.NewErrorDetail(&callerv1.Refusal{
 		Outcome: callerv1.Outcome_OUTCOME_NOT_RUN,
 		Field:   "vm",
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	refusal.AddDetail(detail)
-	return nil, refusal
+	return refusal
 }
 
 func (p *fakeProxy) ListVersions(context.Context, *operatorv1.ListVersionsRequest) (*operatorv1.ListVersionsResponse, error) {
@@ -134,77 +136,22 @@
 }
 
 var _ = Describe("Run", func() {
-	var (
-		server      *fakeProxy
-		address     string
-		output      *bytes.Buffer
-		errorOutput *bytes.Buffer
-	)
-
-	BeforeEach(func() {
-		source, err := os.ReadFile(declarationFile)
-		Expect(err).NotTo(HaveOccurred())
-		document, err := declaration.Parse(declarationFile, source)
-		Expect(err).NotTo(HaveOccurred())
-		document.Version = 1
-		server = &fakeProxy{document: document}
-		mux := http.NewServeMux()
-		mux.Handle(operatorv1connect.NewOperatorServiceHandler(server))
-		listener := httptest.NewUnstartedServer(mux)
-		listener.Config.Protocols = &http.Protocols{}
-		listener.Config.Protocols.SetUnencryptedHTTP2(true)
-		listener.Start()
-		DeferCleanup(listener.Close)
-		address = strings.TrimPrefix(listener.URL, "http://")
-	})
-
-	run := func(arguments ...string) int {
-		GinkgoHelper()
-		clock := timer.NewManual(timer.ManualConfig{})
-		output = &bytes.Buffer{}
-		errorOutput = &bytes.Buffer{}
-		codes := make(chan int, 1)
-		go func() {
-			codes <- commands.Run(commands.Config{
-				Arguments: append([]string{"--proxy", address, "--author", "test"}, arguments...),
-				Output:    output,
-				Errors:    errorOutput,
-				Timer:     clock,
-				Exit:      func(int) {},
-			})
-		}()
-		var code int
-		Eventually(func() chan int {
-			// The calls use a real listener, so the manual clock must not run faster
-			// than real time; else the timeouts of the calls would expire.
-			clock.Advance(time.Millisecond)
-			return codes
-		}, 60*time.Second, time.Millisecond).Should(Receive(&code))
-		return code
-	}
-
-	// expectExit checks the exit code, which scripts rely on, and the output. It guards
-	// against an exit code that misleads a script, for example 0 for a change that was
-	// not made.
-	expectExit := func(code int, message string, arguments ...string) {
-		GinkgoHelper()
-		Expect(run(arguments...)).To(Equal(code), errorOutput.String())
-		Expect(output.String() + errorOutput.String()).To(ContainSubstring(message))
-	}
+	var f *runFixture
+	BeforeEach(func() { f = newRunFixture() })
 
 	DescribeTable("returns the exit code of the result",
 		func(prepare func(), code int, message string, arguments ...string) {
 			prepare()
-			expectExit(code, message, arguments...)
+			f.expectExit(code, message, arguments...)
 		},
 		Entry("done", func() {}, 0, "true", "preset", "use", "peak"),
-		Entry("lost response", func() { server.lostResponses = 1 }, 0, "true", "endpoint", "drain", "main-1"),
+		Entry("lost response", func() { f.server.lostResponses = 1 }, 0, "true", "endpoint", "drain", "main-1"),
 		Entry("unknown preset", func() {}, 1, `preset "none"`, "preset", "use", "none"),
 		Entry("invalid edit", func() {}, 1, "workspaces[2].rate", "workspace", "set", "gamma"),
 		Entry("unknown command", func() {}, 2, "expected command", "fly"),
-		Entry("conflict", func() { server.conflict = true }, 3, "by Anna: add a workspace", "key", "revoke", "k1"),
+		Entry("conflict", func() { f.server.conflict = true }, 3, "by Anna: add a workspace", "key", "revoke", "k1"),
 		Entry("expected version", func() {}, 3, "expected version 7, but the configuration has version 1", "apply", declarationFile, "--expect-version", "7"),
-		Entry("VM without the version", func() { server.vm2Unreachable = true }, 4, "not yet active on: vm-2", "key", "withdraw", "k1", "--wait", "300ms"),
+		Entry("VM without the version", func() { f.server.vm2Unreachable = true }, 4, "not yet active on: vm-2", "key", "withdraw", "k1", "--wait", "300ms"),
 		Entry("valid file", func() {}, 0, "is valid", "validate", declarationFile),
 		Entry("dump of the VM", func() {}, 0, `{"vm":"vm-1"}`, "dump", "--vm", "vm-1"),
 		Entry("dump of another VM", func() {}, 1, "no --proxy address is the operator listener of vm-2", "dump", "--vm", "vm-2"),
@@ -219,50 +166,50 @@
 		// lost.
 		dead := httptest.NewServer(http.NotFoundHandler())
 		dead.Close()
-		address = strings.TrimPrefix(dead.URL, "http://") + "," + address
-		server.lostResponses = 1
-		expectExit(0, "true", "preset", "use", "peak")
-		Expect(server.changeIDs).To(HaveLen(2))
-		Expect(server.changeIDs[0]).To(Equal(server.changeIDs[1]))
-		Expect(server.document.PresetInForce).To(Equal("peak"))
+		f.address = strings.TrimPrefix(dead.URL, "http://") + "," + f.address
+		f.server.lostResponses = 1
+		f.expectExit(0, "true", "preset", "use", "peak")
+		Expect(f.server.changeIDs).To(HaveLen(2))
+		Expect(f.server.changeIDs[0]).To(Equal(f.server.changeIDs[1]))
+		Expect(f.server.document.PresetInForce).To(Equal("peak"))
 	})
 
 	It("reports an unknown outcome and does not show the key", func() {
-		server.failRepeats = true
-		server.lostResponses = 1
-		expectExit(5, "may have been created; revoke it", "key", "create", "beta")
-		Expect(output.String()).NotTo(ContainSubstring("ad_"))
+		f.server.failRepeats = true
+		f.server.lostResponses = 1
+		f.expectExit(5, "may have been created; revoke it", "key", "create", "beta")
+		Expect(f.output.String()).NotTo(ContainSubstring("ad_"))
 	})
 
 	It("verifies the proxies' certificates", func() {
 		mux := http.NewServeMux()
-		mux.Handle(operatorv1connect.NewOperatorServiceHandler(server))
+		mux.Handle(operatorv1connect.NewOperatorServiceHandler(f.server))
 		listener := httptest.NewUnstartedServer(mux)
 		listener.EnableHTTP2 = true
 		listener.StartTLS()
 		defer listener.Close()
-		address = strings.TrimPrefix(listener.URL, "https://")
+		f.address = strings.TrimPrefix(listener.URL, "https://")
 		trusted := filepath.Join(GinkgoT().TempDir(), "ca.pem")
 		Expect(os.WriteFile(trusted, pem.EncodeToMemory(&pem.Block{
 			Type:  "CERTIFICATE",
 			Bytes: listener.Certificate().Raw,
 		}), 0o600)).To(Succeed())
-		expectExit(0, "peak", "preset", "show", "--ca-file", trusted)
-		expectExit(1, "ca.pem", "preset", "show", "--ca-file", trusted+".absent")
-		Expect(run("preset", "show")).To(Equal(1))
+		f.expectExit(0, "peak", "preset", "show", "--ca-file", trusted)
+		f.expectExit(1, "ca.pem", "preset", "show", "--ca-file", trusted+".absent")
+		Expect(f.run("preset", "show")).To(Equal(1))
 	})
 
 	It("shows the secret of a new key only once", func() {
-		expectExit(0, "ad_", "--output", "json", "key", "create", "beta")
+		f.expectExit(0, "ad_", "--output", "json", "key", "create", "beta")
 		var result struct {
 			Key string `json:"key"`
 		}
-		Expect(json.Unmarshal(output.Bytes(), &result)).To(Succeed())
+		Expect(json.Unmarshal(f.output.Bytes(), &result)).To(Succeed())
 		id, secret, ok := declaration.SplitKey(result.Key)
 		Expect(ok).To(BeTrue())
 		for _, command := range [][]string{{"show"}, {"key", "list"}, {"show", "--output", "json"}} {
-			expectExit(0, id, command...)
-			Expect(output.String()).NotTo(ContainSubstring(secret))
+			f.expectExit(0, id, command...)
+			Expect(f.output.String()).NotTo(ContainSubstring(secret))
 		}
 	})
 
@@ -273,8 +220,8 @@
 		end := strings.Index(string(source), "  - name: beta")
 		file := filepath.Join(GinkgoT().TempDir(), "d.yaml")
 		Expect(os.WriteFile(file, []byte(string(source[:start])+string(source[end:])), 0o600)).To(Succeed())
-		expectExit(0, "0 changes to version 1", "plan", file)
-		expectExit(0, "true", "apply", file)
-		Expect(server.document.Workspaces[0].Keys).To(HaveLen(1))
+		f.expectExit(0, "0 changes to version 1", "plan", file)
+		f.expectExit(0, "true", "apply", file)
+		Expect(f.server.document.Workspaces[0].Keys).To(HaveLen(1))
 	})
 })
--- a/amaranthctl/commands/dump.go
+++ b/amaranthctl/commands/dump.go
@@ -10,6 +10,11 @@
 	"amaranthdock.dev/api/amaranthdock/operator/v1/operatorv1connect"
 )
 
+// errNoListenerOf returns the error of a command whose --vm none of the proxies is.
+func errNoListenerOf(vm string) error {
+	return eris.Errorf("no --proxy address is the operator listener of %s; add it (operatorListen in the settings of that VM)", vm)
+}
+
 func (a *app) addDump(k *kingpin.Application) {
 	command := k.Command("dump", "Print the state of a proxy process as JSON, without secrets.")
 	vm := command.Flag("vm", "VM whose state to print; --proxy must include its operator listener. Default: the first proxy that responds.").String()
@@ -18,7 +23,7 @@
 			return client.GetDump(ctx, &operatorv1.GetDumpRequest{Vm: *vm})
 		})
 		if isWrongVM(err) {
-			return eris.Errorf("no --proxy address is the operator listener of %s; add it (operatorListen in the settings of that VM)", *vm)
+			return errNoListenerOf(*vm)
 		}
 		if err != nil {
 			return err
--- a/amaranthctl/commands/status.go
+++ b/amaranthctl/commands/status.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	operatorv1 "amaranthdock.dev/api/amaranthdock/operator/v1"
 	"amaranthdock.dev/api/amaranthdock/operator/v1/operatorv1connect"
@@ -27,10 +26,7 @@
 
 func (a *app) printStatus(status *operatorv1.GetStatusResponse) error {
 	if a.output == outputJSON {
-		return a.printText([]byte(protojson.MarshalOptions{
-			Multiline:       true,
-			EmitUnpopulated: true,
-		}.Format(status) + "\n"))
+		return a.printMessage(status)
 	}
 	text := fmt.Sprintf("%s: version %d, preset %s, authorized %t, authority age %s\n\n", status.GetVm(),
 		status.GetConfigurationVersion(), status.GetPreset(), status.GetAuthorized(), roundAge(status.GetAuthorityAge().AsDuration()))
