Show the position and the age that an endpoint's home knows in route explain

The entry VM's view has no ages once it is older than 1 s, so on an idle database an operator could not see why a replica is too old. The explanation has the values of the home, too, on which the home decides.

Tests of proxy/caller and amaranthctl pass.

--- a/amaranthctl/commands/route_test.go
+++ b/amaranthctl/commands/route_test.go
@@ -42,7 +42,8 @@
 		RateLimit: &operatorv1.RateLimit{Rate: 50, Burst: 20, Tokens: 12},
 		Candidates: []*operatorv1.RouteCandidate{
 			{Endpoint: "main-1", Role: "primary", Reason: "replicaPreferred", Home: "vm-2"},
-			{Endpoint: "main-2", Role: "replica", Reason: "overCapacity", Home: "vm-3", HomeAnswered: true, HomeReason: "overloaded", Steps: 9, Slots: 5},
+			{Endpoint: "main-2", Role: "replica", Reason: "overCapacity", Home: "vm-3", HomeAnswered: true, HomeReason: "overloaded", Steps: 9, Slots: 5,
+				Position: &operatorv1.LogPosition{Term: 3, Index: 8}, HomePosition: &operatorv1.LogPosition{Term: 3, Index: 9}},
 		},
 		UnansweredVms: []string{"vm-2"},
 	}, nil
@@ -63,6 +64,7 @@
 		Entry("VM without an answer", "No answer, state unknown: vm-2"),
 		Entry("endpoint over capacity", "overCapacity"),
 		Entry("slots", "9/5"),
+		Entry("position that the home knows", "3.9"),
 	)
 
 	It("prints camelCase JSON", func() {
--- a/amaranthctl/commands/routeprint.go
+++ b/amaranthctl/commands/routeprint.go
@@ -93,14 +93,19 @@
 	if reason == "" && candidate.GetEndpoint() == explained.GetEndpoint() {
 		reason = "(chosen)"
 	}
+	position, age := candidate.GetPosition(), candidate.GetAge()
+	if candidate.GetHomePosition() != nil {
+		// The home's view is newer.
+		position, age = candidate.GetHomePosition(), candidate.GetHomeAge()
+	}
 	row := []string{
 		candidate.GetEndpoint(),
 		orUnknown(candidate.GetRole()),
 		candidate.GetDataCentre(),
 		reason,
 		fmt.Sprint(candidate.GetReachable()),
-		fmt.Sprintf("%d/%d", candidate.GetPosition().GetTerm(), candidate.GetPosition().GetIndex()),
-		durationText(candidate.GetAge()),
+		fmt.Sprintf("%d.%d", position.GetTerm(), position.GetIndex()),
+		durationText(age),
 		durationText(candidate.GetCost()),
 		orUnknown(candidate.GetHome()),
 	}
--- a/proxy/caller/explain_homes.go
+++ b/proxy/caller/explain_homes.go
@@ -145,6 +145,9 @@
 		candidate.Reason = exclusionOf(home)
 	}
 	candidate.HomeAnswered = answer.answered
+	if member, ok := peer.DecodeView(home.GetResult().GetView()).Member(verdict.Endpoint); ok {
+		candidate.HomePosition, candidate.HomeAge = encodeData(member)
+	}
 	candidate.HomeReason = home.GetResult().GetReason()
 	candidate.ExpectedWait = waitOf(answer)
 	candidate.CatchUp = home.GetCatchUp()
@@ -177,14 +180,21 @@
 	}
 	candidate.Role = member.Role.String()
 	candidate.Reachable = member.Reachable
-	candidate.Position = &operatorv1.LogPosition{
+	candidate.Position, candidate.Age = encodeData(member)
+	return candidate
+}
+
+// encodeData returns the position and the age of a member's data; the age is nil if it is
+// unknown.
+func encodeData(member routing.MemberView) (*operatorv1.LogPosition, *durationpb.Duration) {
+	position := &operatorv1.LogPosition{
 		Term:  member.LastPosition.Term,
 		Index: member.LastPosition.Index,
 	}
-	if member.AgeKnown {
-		candidate.Age = durationpb.New(member.Age)
+	if !member.AgeKnown {
+		return position, nil
 	}
-	return candidate
+	return position, durationpb.New(member.Age)
 }
 
 // exclusionOf returns why a home refuses a step. Refusals of the transport have a reason
--- a/proxy/caller/explain_test.go
+++ b/proxy/caller/explain_test.go
@@ -11,6 +11,7 @@
 
 	operatorv1 "amaranthdock.dev/api/amaranthdock/operator/v1"
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
+	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/proxy/peer"
@@ -242,10 +243,16 @@
 		f.clock.Advance(3 * time.Second)
 		f.explain = func(string, *peerv1.ForwardRequest) (*peerv1.ExplainStepResponse, error) {
 			answer := accepting()
-			answer.Result.View = peer.EncodeView(routing.DatabaseView{Database: "d", Term: 9, Primary: "r"})
+			answer.Result.View = peer.EncodeView(routing.DatabaseView{
+				Database: "d",
+				Term:     9,
+				Primary:  "r",
+				Members:  []routing.MemberView{{Endpoint: "p", LastPosition: logpos.Position{Index: 12}}},
+			})
 			return answer, nil
 		}
 		response := explain()
+		Expect(response.GetCandidates()[0].GetHomePosition().GetIndex()).To(BeEquivalentTo(12))
 		Expect(response.GetViewAge().AsDuration()).To(Equal(before + 3*time.Second))
 		view, _ := f.caller.views.get("d")
 		Expect(view.Term).To(BeEquivalentTo(1))
