--- a/standin/member/connection.go
+++ b/standin/member/connection.go
@@ -70,6 +70,7 @@
 func (m *Member) addConnection() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.openedConnections++
 	if m.connections >= m.config.MaxConnections {
 		return false
 	}
--- a/standin/member/hooks.go
+++ b/standin/member/hooks.go
@@ -31,15 +31,29 @@
 	Entries    []memberlog.Entry `json:"entries"`
 }
 
-// registerHooks adds the test hooks: GET /log, GET /statements,
+// connectionDump is the response of the test hook /connections.
+type connectionDump struct {
+	// Opened counts all connections since the start of the process, also refused ones.
+	Opened int `json:"opened"`
+}
+
+// registerHooks adds the test hooks: GET /connections, GET /log, GET /statements,
 // POST /lag?value=50ms and POST /replication?state=stopped|running.
 func (m *Member) registerHooks(mux *http.ServeMux) {
+	mux.HandleFunc("GET /connections", m.serveConnections)
 	mux.HandleFunc("GET /log", m.serveLog)
 	mux.HandleFunc("GET /statements", m.serveStatements)
 	mux.HandleFunc("POST /lag", m.serveLag)
 	mux.HandleFunc("POST /replication", m.serveReplication)
 }
 
+func (m *Member) serveConnections(w http.ResponseWriter, _ *http.Request) {
+	m.mu.Lock()
+	dump := connectionDump{Opened: m.openedConnections}
+	m.mu.Unlock()
+	m.writeJSON(w, dump)
+}
+
 func (m *Member) serveLag(w http.ResponseWriter, r *http.Request) {
 	lag, err := time.ParseDuration(r.FormValue("value"))
 	if err != nil || lag < 0 {
--- a/standin/member/member.go
+++ b/standin/member/member.go
@@ -75,6 +75,7 @@
 	table              *table
 	changed            chan struct{}
 	connections        int
+	openedConnections  int
 	runningStatements  int
 	replicationLag     time.Duration
 	replicationStopped bool
