Show how long a read waits for its position in route explain

A position that no member has yet was explained as served by a replica, because the estimate of the catch-up time is 0 then; a request waits there for the limit of the home's decision and goes on to the primary. The explanation has the limit beside the estimate.

Tests of proxy/caller, proxy/endpoint, proxy/operator and amaranthctl pass.

--- a/amaranthctl/commands/route_test.go
+++ b/amaranthctl/commands/route_test.go
@@ -43,6 +43,7 @@
 		Candidates: []*operatorv1.RouteCandidate{
 			{Endpoint: "main-1", Role: "primary", Reason: "replicaPreferred", Home: "vm-2"},
 			{Endpoint: "main-2", Role: "replica", Reason: "overCapacity", Home: "vm-3", HomeAnswered: true, HomeReason: "overloaded", Steps: 9, Slots: 5,
+				CatchUp: durationpb.New(time.Millisecond), CatchUpLimit: durationpb.New(2 * time.Millisecond),
 				Position: &operatorv1.LogPosition{Term: 3, Index: 8}, HomePosition: &operatorv1.LogPosition{Term: 3, Index: 9}},
 		},
 		UnansweredVms: []string{"vm-2"},
@@ -64,6 +65,7 @@
 		Entry("VM without an answer", "No answer, state unknown: vm-2"),
 		Entry("endpoint over capacity", "overCapacity"),
 		Entry("slots", "9/5"),
+		Entry("wait for the position", "1ms of 2ms"),
 		Entry("position that the home knows", "3.9"),
 	)
 
--- a/amaranthctl/commands/routeprint.go
+++ b/amaranthctl/commands/routeprint.go
@@ -112,6 +112,10 @@
 	if !candidate.GetHomeAnswered() {
 		return append(row, "none", unknownText, unknownText, unknownText, unknownText, unknownText)
 	}
+	catchUp := durationText(candidate.GetCatchUp())
+	if candidate.GetCatchUpLimit() != nil {
+		catchUp += " of " + durationText(candidate.GetCatchUpLimit())
+	}
 	answer := "accepts"
 	if candidate.GetHomeReason() != "" {
 		answer = candidate.GetHomeReason()
@@ -119,7 +123,7 @@
 	return append(row,
 		answer,
 		durationText(candidate.GetExpectedWait()),
-		durationText(candidate.GetCatchUp()),
+		catchUp,
 		fmt.Sprintf("%d/%d", candidate.GetSteps(), candidate.GetSlots()),
 		fmt.Sprintf("%d/%d", candidate.GetConnections(), candidate.GetConnectionLimit()),
 		fmt.Sprintf("%d/%d", candidate.GetTransactions(), candidate.GetTransactionLimit()),
--- a/proxy/caller/explain_homes.go
+++ b/proxy/caller/explain_homes.go
@@ -150,7 +150,7 @@
 	}
 	candidate.HomeReason = home.GetResult().GetReason()
 	candidate.ExpectedWait = waitOf(answer)
-	candidate.CatchUp = home.GetCatchUp()
+	candidate.CatchUp, candidate.CatchUpLimit = home.GetCatchUp(), home.GetCatchUpLimit()
 	candidate.Slots, candidate.Steps = home.GetSlots(), home.GetSteps()
 	candidate.Connections, candidate.ConnectionLimit = home.GetConnections(), home.GetConnectionLimit()
 	candidate.Transactions, candidate.TransactionLimit = home.GetTransactions(), home.GetTransactionLimit()
--- a/proxy/endpoint/explain.go
+++ b/proxy/endpoint/explain.go
@@ -72,8 +72,9 @@
 	}
 	in := h.serveInput(s)
 	decision, exclusion := routing.ExplainServe(in)
-	if _, ok := decision.(routing.WaitForPosition); ok {
+	if wait, ok := decision.(routing.WaitForPosition); ok {
 		response.CatchUp = durationpb.New(in.CatchUp)
+		response.CatchUpLimit = durationpb.New(wait.Limit)
 		return "", nil
 	}
 	return exclusion, h.servingError(decision)
--- a/proxy/endpoint/explain_test.go
+++ b/proxy/endpoint/explain_test.go
@@ -115,6 +115,17 @@
 		Expect(explained.GetConnectionLimit()).To(BeEquivalentTo(5))
 	})
 
+	It("returns how long a read waits for its position", func() {
+		// Guards against a read that is explained as served although it may go on to
+		// another endpoint.
+		behind(f)
+		f.observer.catchUpKnown = true
+		explained := explain(positionRequest())
+		expectResult(explained.GetResult(), ok, "")
+		Expect(explained.GetCatchUp()).NotTo(BeNil())
+		Expect(explained.GetCatchUpLimit().AsDuration()).To(BeNumerically(">", 0))
+	})
+
 	It("refuses a transaction beyond the limit of open ones", func() {
 		for range declaredPins {
 			f.begin()
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -82,6 +82,8 @@
 	unwatched  bool
 	notDurable bool
 	confirmed  bool
+	// catchUpKnown is set if there is an estimate of the catch-up time, which is 0.
+	catchUpKnown bool
 
 	temporaryWatches []string
 	resolution       failover.Resolution
@@ -126,7 +128,7 @@
 }
 
 func (o *observer) ExpectedCatchUp(string, logpos.Position) (time.Duration, bool) {
-	return 0, false
+	return 0, o.catchUpKnown
 }
 
 func (o *observer) WaitApplied(context.Context, string, logpos.Position) error { return nil }
