--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -47,6 +47,10 @@
 	return scheduling.Enqueued{}
 }
 
+func (q *fifo) Evaluate(time.Time, scheduling.Item) (scheduling.Decision, time.Duration) {
+	return scheduling.Enqueued{}, 0
+}
+
 func (q *fifo) ExpectedWait(time.Time, string) time.Duration { return 0 }
 
 func (q *fifo) ReleaseUnmeasured(uint64) { q.running-- }
@@ -78,6 +82,8 @@
 	unwatched  bool
 	notDurable bool
 	confirmed  bool
+	// catchUpKnown is set if there is an estimate of the catch-up time, which is 0.
+	catchUpKnown bool
 
 	temporaryWatches []string
 	resolution       failover.Resolution
@@ -122,7 +128,7 @@
 }
 
 func (o *observer) ExpectedCatchUp(string, logpos.Position) (time.Duration, bool) {
-	return 0, false
+	return 0, o.catchUpKnown
 }
 
 func (o *observer) WaitApplied(context.Context, string, logpos.Position) error { return nil }
