Verify the loss of a failing primary before replacing it

Cause: after three status requests without a usable reply, replaceFailing promoted a successor on the word of the leader alone. The primary could be alive; without synchronous replicas, commits that it acknowledged until the promotion took effect were lost.

Change: other VMs have to confirm the loss, as for an unresponsive primary. If one reaches it, it stays, and the next report of its home starts another attempt.

Result: the test "stays if it fails all status requests of the leader but other VMs reach it" failed on the code before (promotion of "b" after 0.1 s) and passes; all tests of engine/failover pass (one run).

--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -48,7 +48,9 @@
 
 // replaceFailing replaces a primary that fails many of its statements, like one that is draining.
 // A second VM must confirm that another endpoint of the database serves its statements:
-// otherwise the fault may lie in the statements.
+// otherwise the fault may lie in the statements. A primary that does not respond to the status
+// requests either may be alive and acknowledge commits that no successor has, so other VMs have to
+// confirm that it is lost.
 func (m *Manager) replaceFailing(ctx context.Context, name string, primary catalog.Endpoint) {
 	if !m.anotherServesWell(ctx, name, primary) {
 		m.config.Log.Info("A primary fails many statements, but no other endpoint is known to serve them.", "database", name, "endpoint", primary.Key.ID)
@@ -67,7 +69,10 @@
 		}
 		m.config.Log.Info("Could not read the status of a failing primary.", "database", name, "endpoint", primary.Key.ID, "error", err.Error())
 	}
-	m.replacePrimary(ctx, name, primary, "the primary fails its statements and status requests")
+	if !m.verify(ctx, name, primary) {
+		m.setFailingReplacedAt(name, previous)
+		m.postponeSwitchover(name)
+	}
 }
 
 // setFailingReplacedAt sets when a failing primary of a database was last replaced, and returns the
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -74,6 +74,37 @@
 		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 	})
 
+	// failAllStatusRequests makes the primary drop each status request of the leader, while other
+	// VMs have seen other endpoints serve statements.
+	failAllStatusRequests := func(reachedByOthers bool) {
+		f.database.update(func() {
+			f.database.servesWell = map[string]bool{
+				"b": true,
+				"c": true,
+			}
+			f.database.failStatus = func(id string) bool { return id == "a" }
+		})
+		for _, p := range f.peers {
+			p.mu.Lock()
+			p.servesWell, p.reachesPrimary = true, reachedByOthers
+			p.mu.Unlock()
+		}
+	}
+
+	It("stays if it fails all status requests of the leader but other VMs reach it", func() {
+		// Guards against the loss of commits that a primary acknowledges which is alive: without
+		// synchronous replicas, the successor may lack them.
+		failAllStatusRequests(true)
+		Consistently(report).WithTimeout(3 * time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
+	})
+
+	It("is replaced if it fails all status requests and no other VM reaches it", func() {
+		// Guards against a primary that is kept for the time between two replacements although
+		// the loss is confirmed.
+		failAllStatusRequests(false)
+		Eventually(report).WithTimeout(3 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
+	})
+
 	It("is not replaced if only the VM that reported it has seen another endpoint serve statements", func() {
 		// Guards against a promotion for a fault of a single VM or of its link to the primary.
 		f.database.update(func() {
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -284,18 +284,19 @@
 }
 
 // verify probes a suspected primary from several VMs and replaces it if they confirm that
-// it is unreachable.
-func (m *Manager) verify(ctx context.Context, name string, primary catalog.Endpoint) {
+// it is unreachable. It reports whether they did.
+func (m *Manager) verify(ctx context.Context, name string, primary catalog.Endpoint) bool {
 	reachability := m.probeFromPeers(ctx, primary)
 	m.config.Log.Info("Probed a suspected primary from several VMs.", "database", name, "endpoint", primary.Key.ID, "leaderReached", reachability.LeaderReached,
 		"reached", reachability.SuccessCount, "unreached", reachability.FailureCount)
 	if reachability.ConfirmsLoss() {
 		m.replacePrimary(ctx, name, primary, "no VM reached the primary")
-		return
+		return true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.databaseState(name).verifyAfter = m.config.Timer.SinceBoot() + verifyInterval
+	return false
 }
 
 // probeFromPeers probes the primary from this VM and from up to maxVerifiers others.
--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -31,6 +31,8 @@
 type fakePeer struct {
 	mu             sync.Mutex
 	reachesPrimary bool
+	// servesWell is set if the VM has seen another endpoint serve statements.
+	servesWell bool
 }
 
 func (f *fakePeer) Run(context.Context, *peer.RunRequest) *peer.RunResponse {
@@ -42,9 +44,12 @@
 func (f *fakePeer) Suspect(*peer.Suspicion)                      {}
 func (f *fakePeer) Promoted(*peer.PromotionNotice)               {}
 
-func (f *fakePeer) Confirm(context.Context, *peer.Suspicion) peer.ConfirmResponse {
+func (f *fakePeer) Confirm(_ context.Context, request *peer.Suspicion) peer.ConfirmResponse {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if request.Failing && f.servesWell {
+		return peer.ConfirmResponse{Reached: true}
+	}
 	return peer.ConfirmResponse{Reached: f.reachesPrimary}
 }
 
