State the cause of a planned replacement in its log lines

Cause: handOver is shared by draining, evacuated and failing primaries, but its log lines said "draining" for all of them.

Alerts that match the old texts need the new ones.

--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -59,7 +59,8 @@
 func (m *Manager) switchOver(ctx context.Context, name string, old catalog.Endpoint) {
 	before, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.Status{})
 	if err != nil {
-		m.config.Log.Info("Could not read the term of a draining primary.", "database", name, "endpoint", old.Key.ID, "error", err.Error())
+		m.config.Log.Info("Could not read the term of a primary to be replaced.", "database", name, "endpoint", old.Key.ID, "cause", m.switchoverCause(old),
+			"error", err.Error())
 		m.suspectEvacuated(old)
 		return
 	}
@@ -69,15 +70,16 @@
 // handOver is switchOver for a primary whose report is known. It reports whether the primary was
 // told to step down.
 func (m *Manager) handOver(ctx context.Context, name string, old catalog.Endpoint, before *endpoint.Report, cause string) bool {
+	log := m.config.Log.WithValues("database", name, "endpoint", old.Key.ID, "cause", cause)
 	if !takeover.MayStepDown(m.candidate(old, before, old), m.candidates(ctx, name, old), m.syncReplicas(name)) {
-		m.config.Log.Info("No endpoint can take over from a draining primary yet.", "database", name, "endpoint", old.Key.ID)
+		log.Info("No endpoint can take over from a primary to be replaced yet.")
 		m.postponeSwitchover(name)
 		return false
 	}
 	after, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.StepDown{Term: max(before.Term, before.FencedTerm) + 1})
 	if err != nil {
-		m.config.Log.Info("A draining primary did not confirm that it stepped down.", "database", name, "endpoint", old.Key.ID, "error", err.Error())
-		m.replacePrimary(ctx, name, old, "the draining primary may have stepped down")
+		log.Info("A primary to be replaced did not confirm that it stepped down.", "error", err.Error())
+		m.replacePrimary(ctx, name, old, "the primary may have stepped down")
 		return true
 	}
 	m.config.View.RecordPromotion(name, "", false)
@@ -86,13 +88,13 @@
 		timeOver := !m.config.Timer.Now().Before(deadline)
 		chosen, ok := takeover.ChooseAfterStepDown(m.candidate(old, after, old), m.candidates(ctx, name, old), m.syncReplicas(name), timeOver)
 		if ok {
-			m.config.Log.Info("A draining primary stepped down.", "database", name, "endpoint", old.Key.ID, "position", after.ReceivedPosition.String(),
-				"successor", chosen.ID, "received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
+			log.Info("A primary stepped down.", "position", after.ReceivedPosition.String(), "successor", chosen.ID,
+				"received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
 			m.promote(ctx, name, chosen, cause)
 			return true
 		}
 		if timeOver {
-			m.config.Log.Info("No endpoint has received the whole log of an evacuated primary yet.", "database", name, "endpoint", old.Key.ID)
+			log.Info("No endpoint has received the whole log of an evacuated primary yet.")
 			return true
 		}
 		if err := timer.Sleep(ctx, m.config.Timer, pollInterval); err != nil {
