Record the leader's intent before a planned replacement

Cause: if the leader is lost between the step-down of a primary and the promotion of its successor, the next one waits for the missing report, or repeats the step-down and may promote another endpoint than the one whose promotion was requested. A command to step down without a reply counted as carried out, and a former leader could still send it.

Change: the leader writes its intent to amaranthdock/intents/DATABASE before the step-down, and changes it with the fencing token. The next leader takes it from the read of the fleet's keys that it makes anyway, asks the endpoints and goes on as takeover.Resumption decides. Intents of replaced primaries are removed with one call for each takeover. An unconfirmed step-down is resolved by asking the endpoints, and by other VMs if the primary does not respond.

Result (tests with fakes): a planned replacement costs three calls to the store, two before; another promotion two as before; a takeover two, and one more if old intents are left; an idle leader none.

--- a/engine/failover/failing.go
+++ b/engine/failover/failing.go
@@ -16,6 +16,9 @@
 // request, too.
 const maxStatusAttempts = 3
 
+// causeFailing is the cause of a planned replacement of a failing primary, also in its intent.
+const causeFailing = "the primary fails many of its statements"
+
 // ReportFailing records that a primary fails many of its statements although it responds, and
 // notifies the leader. Endpoints that are not the primary of their database are ignored.
 func (m *Manager) ReportFailing(target catalog.Endpoint) {
@@ -62,7 +65,7 @@
 	for range maxStatusAttempts {
 		report, err := m.config.Prober.RunControlCommand(ctx, primary, endpoint.Status{})
 		if err == nil {
-			if !m.handOver(ctx, name, primary, report, "the primary fails many of its statements") {
+			if !m.handOver(ctx, name, primary, report, causeFailing) {
 				m.setFailingReplacedAt(name, previous)
 			}
 			return
--- a/engine/failover/failover.go
+++ b/engine/failover/failover.go
@@ -64,6 +64,8 @@
 	// one of the registrations and the leader's key.
 	RefreshReports()
 	RefreshFleet()
+	// Intents returns the intents in the last read of the registrations; nil if there was none.
+	Intents() *store.Intents
 }
 
 // Config configures a Manager.
@@ -82,12 +84,17 @@
 // Manager monitors and replaces the primaries while this VM is the leader. On all other
 // VMs it reports unreachable primaries to the leader.
 type Manager struct {
-	config            Config
-	promotionRequests metrics.Counter
+	config              Config
+	promotionRequests   metrics.Counter
+	recordedIntents     metrics.Counter
+	resumedReplacements metrics.Counter
+	discardedIntents    metrics.Counter
 
 	mu         sync.Mutex
 	leadership leadership
 	databases  map[string]*databaseState
+	// intentsRemovedBy is the revision of the leadership that has removed intents last.
+	intentsRemovedBy uint64
 }
 
 // databaseState is the leader's state of one database.
@@ -110,6 +117,7 @@
 	failingReporter   string
 	failingAt         time.Duration
 	failingReplacedAt time.Duration
+	intent            intentState
 	// replicaLastSeen holds the time at which each replica was last reported.
 	replicaLastSeen map[catalog.EndpointKey]time.Duration
 }
@@ -117,9 +125,12 @@
 // New returns a Manager. Start it with Run and Campaign.
 func New(config Config) *Manager {
 	return &Manager{
-		config:            config,
-		promotionRequests: metrics.GetOrRegisterCounter("failover.orders", config.Registry),
-		databases:         map[string]*databaseState{},
+		config:              config,
+		promotionRequests:   metrics.GetOrRegisterCounter("failover.orders", config.Registry),
+		recordedIntents:     metrics.GetOrRegisterCounter("failover.intents.recorded", config.Registry),
+		resumedReplacements: metrics.GetOrRegisterCounter("failover.intents.resumed", config.Registry),
+		discardedIntents:    metrics.GetOrRegisterCounter("failover.intents.discarded", config.Registry),
+		databases:           map[string]*databaseState{},
 	}
 }
 
@@ -175,6 +186,7 @@
 		if configuration == nil || !m.IsLeader() {
 			continue
 		}
+		m.adoptIntents(ctx, configuration.Databases)
 		for name := range configuration.Databases {
 			m.checkDatabase(ctx, name)
 		}
@@ -208,6 +220,7 @@
 		StoreHealthyFor:       m.config.StoreStatus.StoreHealthyFor(),
 		PromotionRequested:    d.promotionRequestedAt != 0,
 		SincePromotionRequest: now - d.promotionRequestedAt,
+		IntentPending:         d.intent.isDue(primaryReported, now),
 	}
 	if d.primaryMissingSince != 0 {
 		state.PrimaryMissingFor = now - d.primaryMissingSince
@@ -218,6 +231,8 @@
 	switch takeover.Decide(state).(type) {
 	case takeover.VerifyPrimary:
 		m.runExclusive(d, func() { m.verify(ctx, name, primary) })
+	case takeover.ResumeReplacement:
+		m.runExclusive(d, func() { m.resume(ctx, name) })
 	case takeover.ReplaceFailing:
 		m.runExclusive(d, func() { m.replaceFailing(ctx, name, primary) })
 	case takeover.Switchover:
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	failStatus func(id string) bool
 	// ignoreRequests is the number of promotion requests that will fail without effect.
 	ignoreRequests int
+	// ignoreStepDowns makes commands to step down get lost, loseStepDownReplies their replies.
+	ignoreStepDowns, loseStepDownReplies bool
 	// queriedIDs are the endpoints that received a control command.
 	queriedIDs []string
 }
@@ -44,7 +48,13 @@
 		return nil, errNoResponse
 	}
 	if _, ok := command.(endpoint.StepDown); ok {
+		if f.ignoreStepDowns {
+			return nil, errNoResponse
+		}
 		f.primary = ""
+		if f.loseStepDownReplies {
+			return nil, errNoResponse
+		}
 	}
 	role := catalog.RoleReplica
 	if f.primary == id {
@@ -99,6 +109,12 @@
 	items     map[string]store.Item
 	leases    map[uint64]bool
 	steadyFor time.Duration
+	// calls are the calls besides renewals.
+	calls []string
+	// intentsUnread is set while no read has shown the intents to this VM, and intentsRead is a read
+	// from before; nil if the last read is current.
+	intentsUnread bool
+	intentsRead   *store.Intents
 	// onRefreshFleet is called by RefreshFleet; may be nil.
 	onRefreshFleet func()
 }
@@ -121,10 +137,39 @@
 func (f *fakeStore) Get(_ context.Context, key string) (store.Item, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls = append(f.calls, "get "+key)
 	item, ok := f.items[key]
 	return item, ok, nil
 }
 
+// Intents returns the intents as a current read of the fleet's keys shows them. This read is made
+// anyway, so it is no call of its own.
+func (f *fakeStore) Intents() *store.Intents {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.intentsUnread {
+		return nil
+	}
+	if f.intentsRead != nil {
+		return f.intentsRead
+	}
+	return &store.Intents{
+		Revision: f.revision,
+		ByDatabase: store.DecodeIntents(slices.Collect(maps.Values(f.items)), func(key string, err error) {
+			panic("invalid intent under " + key + ": " + err.Error())
+		}),
+	}
+}
+
+// takeCalls returns the calls since the last time.
+func (f *fakeStore) takeCalls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	calls := f.calls
+	f.calls = nil
+	return calls
+}
+
 func (f *fakeStore) Range(context.Context, string, bool) ([]store.Item, uint64, error) {
 	return nil, 0, errNoResponse
 }
@@ -132,12 +177,27 @@
 func (f *fakeStore) Commit(_ context.Context, change store.Change) (uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	call := "commit"
+	conflict := &store.ConflictError{Revisions: map[string]uint64{}}
+	met := true
 	for _, c := range change.Conditions {
-		if f.items[c.Key].Revision != c.Revision {
-			return 0, store.ErrConflict
-		}
+		conflict.Revisions[c.Key] = f.items[c.Key].Revision
+		met = met && f.items[c.Key].Revision == c.Revision
+	}
+	for _, w := range change.Writes {
+		call += " " + w.Key
+	}
+	for _, key := range change.Removals {
+		call += " -" + key
+	}
+	f.calls = append(f.calls, call)
+	if !met {
+		return 0, conflict
 	}
 	f.revision++
+	for _, key := range change.Removals {
+		delete(f.items, key)
+	}
 	for _, w := range change.Writes {
 		f.items[w.Key] = store.Item{
 			Key:      w.Key,
@@ -151,6 +211,7 @@
 func (f *fakeStore) GrantLease(_ context.Context, ttl time.Duration) (uint64, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls = append(f.calls, "grant")
 	f.revision++
 	f.leases[f.revision] = true
 	return f.revision, ttl, nil
--- a/engine/failover/leader.go
+++ b/engine/failover/leader.go
@@ -35,8 +35,8 @@
 	lease uint64
 	// revision is the store revision at which this VM wrote the leader's key.
 	revision uint64
-	// validUntil is a boot-clock reading, which advances while the VM is suspended.
-	validUntil time.Duration
+	// acquiredAt and validUntil are boot-clock readings, which advance while the VM is suspended.
+	acquiredAt, validUntil time.Duration
 }
 
 // Campaign acquires the lease when it is vacant and renews it until the context ends, then
@@ -155,9 +155,11 @@
 		m.revokeLease(lease)
 		return
 	}
+	m.forgetIntents()
 	m.setLeadership(leadership{
 		lease:      lease,
 		revision:   revision,
+		acquiredAt: requestedAt,
 		validUntil: requestedAt + ttl - leaseSafetyMargin,
 	})
 	m.config.Log.Info("Acquired the failover lease; this VM is now the leader.", "lease", lease)
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/catalog"
@@ -49,10 +46,10 @@
 			"syncReplicas", syncReplicas)
 		return
 	}
-	m.promote(ctx, name, chosen, cause)
+	m.promote(ctx, name, chosen, cause, nil)
 }
 
-// switchOver makes a draining primary step down, so that it acknowledges no more commits,
+// switchOver makes a draining or evacuated primary step down, so that it acknowledges no more commits,
 // waits until another endpoint has received its whole log, and promotes that one. If none has
 // within catchUpTimeout, takeover.ChooseAfterStepDown decides. It does nothing while no other
 // endpoint can take over.
@@ -67,43 +64,90 @@
 	m.handOver(ctx, name, old, before, m.switchoverCause(old))
 }
 
-// handOver is switchOver for a primary whose report is known. It reports whether the primary was
-// told to step down.
+// handOver is switchOver for a primary whose report is known. It reports whether the primary has
+// confirmed that it stepped down.
 func (m *Manager) handOver(ctx context.Context, name string, old catalog.Endpoint, before *endpoint.Report, cause string) bool {
 	log := m.config.Log.WithValues("database", name, "endpoint", old.Key.ID, "cause", cause)
+	if before.Role != catalog.RolePrimary && !m.mayRepeatStepDown(name, old) {
+		log.Info("A primary to be replaced has stepped down already; its replacement is continued.")
+		m.postponeSwitchover(name)
+		return false
+	}
 	if !takeover.MayStepDown(m.candidate(old, before, old), m.candidates(ctx, name, old), m.syncReplicas(name)) {
 		log.Info("No endpoint can take over from a primary to be replaced yet.")
 		m.postponeSwitchover(name)
 		return false
 	}
+	intent := store.Intent{
+		Primary: old.Key,
+		Term:    before.Term,
+		Step:    takeover.StepDown,
+		Cause:   cause,
+	}
+	if err := m.recordIntent(ctx, name, intent); err != nil {
+		log.Info("Could not record the intent to replace a primary, which stays.", "error", err.Error())
+		m.postponeSwitchover(name)
+		return false
+	}
 	after, err := m.config.Prober.RunControlCommand(ctx, old, endpoint.StepDown{Term: max(before.Term, before.FencedTerm) + 1})
 	if err != nil {
+		// It may lead on and acknowledge commits. The intent is pending, so the endpoints are asked.
 		log.Info("A primary to be replaced did not confirm that it stepped down.", "error", err.Error())
-		m.replacePrimary(ctx, name, old, "the primary may have stepped down")
-		return true
+		return false
+	}
+	if after.Role == catalog.RolePrimary {
+		log.Info("A primary to be replaced did not step down.", "term", after.Term)
+		m.endIntent(name)
+		m.postponeSwitchover(name)
+		return false
 	}
 	m.config.View.RecordPromotion(name, "", false)
+	m.awaitSuccessor(ctx, name, old, m.candidate(old, after, old), cause)
+	return true
+}
+
+// mayRepeatStepDown reports whether a primary that has stepped down may be told so again. That is for
+// leaders of older builds, which leave no intent. With an intent, or if it is not known yet, the
+// promotion of a successor may have been requested.
+func (m *Manager) mayRepeatStepDown(name string, old catalog.Endpoint) bool {
+	_, known := m.knownIntents()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i := &m.databaseState(name).intent
+	if i.pending {
+		i.asked = false
+		return false
+	}
+	isPromoted := i.stored != nil && i.stored.Primary.ID == old.Key.ID && i.stored.Step == takeover.Promote
+	return known && !isPromoted
+}
+
+// awaitSuccessor waits until an endpoint may succeed a primary that has stepped down, and promotes
+// it. If none has received the whole log within catchUpTimeout, takeover.ChooseAfterStepDown decides.
+func (m *Manager) awaitSuccessor(ctx context.Context, name string, old catalog.Endpoint, stepped takeover.Candidate, cause string) {
+	log := m.config.Log.WithValues("database", name, "endpoint", old.Key.ID, "cause", cause)
 	deadline := m.config.Timer.Now().Add(catchUpTimeout)
 	for {
 		timeOver := !m.config.Timer.Now().Before(deadline)
-		chosen, ok := takeover.ChooseAfterStepDown(m.candidate(old, after, old), m.candidates(ctx, name, old), m.syncReplicas(name), timeOver)
+		chosen, ok := takeover.ChooseAfterStepDown(stepped, m.candidates(ctx, name, old), m.syncReplicas(name), timeOver)
 		if ok {
-			log.Info("A primary stepped down.", "position", after.ReceivedPosition.String(), "successor", chosen.ID,
-				"received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(after.ReceivedPosition))
-			m.promote(ctx, name, chosen, cause)
-			return true
+			log.Info("A primary stepped down.", "position", stepped.ReceivedPosition.String(), "successor", chosen.ID,
+				"received", chosen.ReceivedPosition.String(), "complete", chosen.ReceivedPosition.Covers(stepped.ReceivedPosition))
+			m.promotePlanned(ctx, name, chosen)
+			return
 		}
 		if timeOver {
 			log.Info("No endpoint has received the whole log of an evacuated primary yet.")
-			return true
+			m.endIntent(name)
+			return
 		}
 		if err := timer.Sleep(ctx, m.config.Timer, pollInterval); err != nil {
-			return true
+			return
 		}
 	}
 }
 
-// postponeSwitchover delays the next attempt to replace a draining primary.
+// postponeSwitchover delays the next attempt to replace a primary in a planned way.
 func (m *Manager) postponeSwitchover(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -120,16 +164,31 @@
 	return c.Databases[name].SyncReplicas
 }
 
+// memberStatus is the response of a member of a database to a status request.
+type memberStatus struct {
+	endpoint catalog.Endpoint
+	report   *endpoint.Report
+}
+
 // candidates queries the log positions of all members except the old primary and those in
 // evacuated data centres.
 func (m *Manager) candidates(ctx context.Context, name string, old catalog.Endpoint) []takeover.Candidate {
+	var candidates []takeover.Candidate
+	for _, s := range m.statuses(ctx, name, func(e catalog.Endpoint) bool { return e.Key != old.Key && m.config.View.Access(e) == evacuation.Open }) {
+		candidates = append(candidates, m.candidate(s.endpoint, s.report, old))
+	}
+	return candidates
+}
+
+// statuses queries the status of the members of a database that are included, at the same time.
+func (m *Manager) statuses(ctx context.Context, name string, included func(catalog.Endpoint) bool) []memberStatus {
 	var (
-		mu         sync.Mutex
-		candidates []takeover.Candidate
-		probes     sync.WaitGroup
+		mu        sync.Mutex
+		responses []memberStatus
+		probes    sync.WaitGroup
 	)
 	for _, e := range m.config.View.Members(name) {
-		if e.Key == old.Key || m.config.View.Access(e) != evacuation.Open {
+		if !included(e) {
 			continue
 		}
 		probes.Go(func() {
@@ -140,11 +199,14 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			candidates = append(candidates, m.candidate(e, report, old))
+			responses = append(responses, memberStatus{
+				endpoint: e,
+				report:   report,
+			})
 		})
 	}
 	probes.Wait()
-	return candidates
+	return responses
 }
 
 // candidate returns an endpoint as a candidate to succeed the old primary.
@@ -159,10 +221,28 @@
 	}
 }
 
+// promotePlanned promotes the successor of a primary that has stepped down. The intent is changed
+// with the fencing token, so that the next leader promotes no other endpoint beside it.
+func (m *Manager) promotePlanned(ctx context.Context, name string, chosen takeover.Candidate) {
+	stored, ok := m.storedIntent(name)
+	if !ok {
+		return
+	}
+	successor, ok := m.config.View.Endpoint(chosen.ID)
+	if !ok || isRestarted(successor.Key, stored.Primary) {
+		m.config.Log.Info("The successor of a primary is gone, or has restarted and lost its log.", "database", name, "endpoint", chosen.ID, "cause", stored.Cause)
+		m.endIntent(name)
+		return
+	}
+	intent := stored.Intent
+	intent.Step, intent.Successor = takeover.Promote, successor.Key
+	m.promote(ctx, name, chosen, intent.Cause, &intent)
+}
+
 // promote requests a promotion, announces it to the fleet, and waits until the endpoint is
-// the primary.
-func (m *Manager) promote(ctx context.Context, name string, chosen takeover.Candidate, cause string) {
-	token, err := m.nextFencingToken(ctx, name)
+// the primary. The intent is that of a planned replacement; nil for any other promotion.
+func (m *Manager) promote(ctx context.Context, name string, chosen takeover.Candidate, cause string, intent *store.Intent) {
+	token, err := m.nextFencingToken(ctx, name, intent)
 	if err != nil {
 		m.config.Log.Info("Could not reserve a fencing token for a promotion.", "database", name, "error", err.Error())
 		return
@@ -197,6 +277,7 @@
 		if err == nil && report.Role == catalog.RolePrimary {
 			m.config.Log.Info("A promotion took effect.", "database", name, "endpoint", id, "term", report.Term)
 			m.broadcastPromotion(name, id, true)
+			m.endIntent(name)
 			return
 		}
 		if err := timer.Sleep(ctx, m.config.Timer, pollInterval); err != nil {
@@ -224,49 +305,6 @@
 	}
 }
 
-// nextFencingToken reserves the next fencing token for promotions in the database. The
-// write is conditional on the leader's key, so it fails once another VM is the leader.
-func (m *Manager) nextFencingToken(ctx context.Context, name string) (uint64, error) {
-	key := store.FencingTokenPrefix + name
-	var lastErr error
-	for range maxTokenAttempts {
-		item, found, err := m.config.Store.Get(ctx, key)
-		if err != nil {
-			lastErr = err
-			continue
-		}
-		token := uint64(1)
-		if found {
-			lastToken, err := strconv.ParseUint(string(item.Value), 10, 64)
-			if err != nil {
-				return 0, eris.Wrapf(err, "parse the last fencing token under %q", key)
-			}
-			token = lastToken + 1
-		}
-		_, err = m.config.Store.Commit(ctx, store.Change{
-			Conditions: []store.Condition{
-				{
-					Key:      key,
-					Revision: item.Revision,
-				},
-				{
-					Key:      store.LeaderKey,
-					Revision: m.currentLeadership().revision,
-				},
-			},
-			Writes: []store.Write{{
-				Key:   key,
-				Value: []byte(strconv.FormatUint(token, 10)),
-			}},
-		})
-		if err == nil {
-			return token, nil
-		}
-		lastErr = err
-	}
-	return 0, eris.Wrap(lastErr, "reserve a fencing token")
-}
-
 // isEndpointError reports whether the endpoint itself replied with an error.
 func isEndpointError(err error) bool {
 	var replyError *endpoint.ReplyError
--- a/engine/store/registration.go
+++ b/engine/store/registration.go
@@ -322,6 +322,7 @@
 		respondedAt: respondedAt,
 		stale:       stale,
 	}
+	s.recordIntents(items, read)
 	s.decodeClaims(items, read)
 	return read, nil
 }
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -105,6 +105,8 @@
 	// lapsedClaims are the claims whose registrations have lapsed, while this VM leads. Only
 	// FollowFleet uses it.
 	lapsedClaims limits.LapsedClaims
+	// intents are the intents of leaders in the last read of the fleet's keys.
+	intents atomic.Pointer[Intents]
 	// meanLatency is the moving average of the time that a read of the reports takes, in
 	// nanoseconds.
 	meanLatency   atomic.Int64
