Prefer a successor that is not in its cold period

Cause: among endpoints that have received the same log, a replacement chose by routes, region and id. A cold endpoint became the primary and refused most requests, although a warm one could have succeeded.

Change: takeover.Candidate has Cold. Among those with the same log and the same number of allowing routes, one that is not cold succeeds. Routes come first, because those that exclude the primary's region are refused for as long as it leads.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -167,13 +167,16 @@
 	Evacuated bool
 	// AllowingRoutes is the number of the database's routes that allow the endpoint's region.
 	AllowingRoutes int
+	// Cold is true if the endpoint is in its cold period, in which it takes few requests.
+	Cold bool
 	// SameRegion is true if the endpoint is in the region of the database's old primary.
 	SameRegion bool
 }
 
 // Choose returns the candidate with the highest received position. On a tie it prefers the one
-// that most routes allow, then one in the region of the old primary, then the one with the
-// lowest ID.
+// that most routes allow, then one that is not cold, then one in the region of the old primary,
+// then the one with the lowest ID. Routes come before the cold period, because those that do not
+// allow the region of the primary are refused for as long as it leads.
 func Choose(candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	found := false
@@ -194,6 +197,8 @@
 	switch {
 	case c.AllowingRoutes != other.AllowingRoutes:
 		return c.AllowingRoutes > other.AllowingRoutes
+	case c.Cold != other.Cold:
+		return other.Cold
 	case c.SameRegion != other.SameRegion:
 		return c.SameRegion
 	default:
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -211,6 +211,32 @@
 		}
 	})
 
+	It("prefers an endpoint that is not cold, but not to one with more of the log or of the routes", func() {
+		// Guards against a primary that refuses most requests after a replacement, although
+		// another one had the same log, and against the loss of log entries for that.
+		cold := takeover.Candidate{
+			ID:               "a",
+			ReceivedPosition: position(10),
+			SameRegion:       true,
+			Cold:             true,
+		}
+		warm := takeover.Candidate{
+			ID:               "z",
+			ReceivedPosition: position(10),
+		}
+		chosen := func() string {
+			first, _ := takeover.Choose([]takeover.Candidate{cold, warm})
+			second, _ := takeover.Choose([]takeover.Candidate{warm, cold})
+			Expect(first).To(Equal(second))
+			return first.ID
+		}
+		Expect(chosen()).To(Equal("z"))
+		cold.AllowingRoutes = 1
+		Expect(chosen()).To(Equal("a"))
+		cold.AllowingRoutes, cold.ReceivedPosition = 0, position(11)
+		Expect(chosen()).To(Equal("a"))
+	})
+
 	It("returns false without candidates", func() {
 		_, ok := takeover.Choose(nil)
 		Expect(ok).To(BeFalse())
--- a/engine/failover/places_test.go
+++ b/engine/failover/places_test.go
@@ -154,3 +154,27 @@
 		f.expectPromotion("b")
 	})
 })
+
+var _ = Describe("the successor of a draining primary", func() {
+	It("is an endpoint that is not cold", func() {
+		// Guards against a primary that refuses most requests because it has just started.
+		f := newFixture()
+		f.database.update(func() { f.database.received["b"], f.database.received["c"] = 50, 50 })
+		f.view.AcceptConfiguration(&catalog.Configuration{
+			Version: 2,
+			Databases: map[string]catalog.Database{"db": {
+				Name:     "db",
+				ColdRate: 10,
+			}},
+		}, "test")
+		f.reportEndpoints("a", func(id string, e *catalog.Endpoint) bool {
+			e.Draining = id == "a"
+			if id == "b" {
+				e.ColdFor = time.Minute
+			}
+			return true
+		})
+		f.expectPromotion("c")
+		Expect(f.database.requestedPromotions()).To(Equal([]string{"c"}))
+	})
+})
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -217,6 +217,7 @@
 		Draining:         e.Draining,
 		Evacuated:        m.config.View.Access(e) != evacuation.Open,
 		AllowingRoutes:   m.allowingRoutes(e),
+		Cold:             m.config.Timer.SinceBoot() < m.config.View.Coldness(e).Until,
 		SameRegion:       m.config.View.Region(e.DataCentre) == m.config.View.Region(old.DataCentre),
 	}
 }
