Count lapsed claims from the current reads before a VM leads

Cause: a new leader counted the 10 s (or 60 s) for which a claim has to be lapsed from its first read as the leader, so unused shares of limits stayed unassigned for longer.

Change: what the previous leader knew can't be used safely, and decision/limits says why. But a VM now counts from its own current reads, also while it does not lead; the VMs next in rank make these four times a second while the leader can't be reached. Stale reads do not count. No call is added.

Result: after 3 s of such reads, a new leader removes a claim within 9 s; the test fails without the change.

--- a/decision/limits/claim.go
+++ b/decision/limits/claim.go
@@ -52,8 +52,16 @@
 	HearsMostNeighbours bool
 }
 
-// LapsedClaims tracks for how long the registrations of claims have been lapsed. The zero value
-// is empty.
+// LapsedClaims tracks for how long the registrations of claims have been lapsed, as this VM itself
+// has read. The zero value is empty.
+//
+// A new leader does not use what the previous one knew. A registration that comes and lapses again
+// leaves no trace in the store, and lasts at least minRegistration. So less than that must have passed
+// between the last read of the previous leader and the first one of the new leader. This cannot be
+// known, because the two have different clocks, and it is rarely so: the lease of a lost leader ends up
+// to 3 s after its last renewal, and its last read may be a second older. Passing the knowledge on
+// would also cost a call for each update. A VM that may become the leader counts from its own current
+// reads instead. Stale reads do not count: it is not known how old their data is.
 type LapsedClaims struct {
 	// since is when each registration was certainly lapsed for the first time.
 	since       map[string]time.Duration
--- a/decision/limits/claim_test.go
+++ b/decision/limits/claim_test.go
@@ -96,4 +96,40 @@
 		Expect(observe(&l, resumed, resumed+limits.ClaimRetention-time.Second, true, true)).To(BeEmpty())
 		Expect(observe(&l, resumed+limits.ClaimRetention, resumed+limits.ClaimRetention, true, true)).To(ConsistOf("vm1"))
 	})
+
+	It("ends no claim before its retention, in all short schedules of registrations and reads", func() {
+		// Guards against a leader that counts over reads which it did not make, or which missed a
+		// registration. A step is 2 s; a registration lasts for two, and some steps have a read.
+		const (
+			step  = 2 * time.Second
+			steps = 9
+		)
+		removals := 0
+		for schedule := range 1 << (2 * steps) {
+			var l limits.LapsedClaims
+			lapsedAt := first
+			for i := range steps {
+				at := first + time.Duration(i)*step
+				if schedule>>(2*i)&1 == 1 {
+					lapsedAt = at + 2*step
+				}
+				if schedule>>(2*i+1)&1 == 0 {
+					continue
+				}
+				o := limits.Observation{
+					RequestedAt:         at + step/4,
+					RespondedAt:         at + step/2,
+					HearsMostNeighbours: true,
+				}
+				if at >= lapsedAt {
+					o.Lapsed = []string{"vm1"}
+				}
+				if len(l.Update(o)) > 0 {
+					removals++
+					Expect(at-lapsedAt).To(BeNumerically(">=", limits.ClaimRetention), "schedule %b", schedule)
+				}
+			}
+		}
+		Expect(removals).To(BeNumerically(">", 0))
+	})
 })
--- a/engine/store/claim.go
+++ b/engine/store/claim.go
@@ -103,12 +103,9 @@
 }
 
 // updateClaims adds the claims of VMs that have registered, and removes those of VMs whose
-// registration has been lapsed for long. Only the leader does that. It returns true if the next
-// read has to be current and soon.
+// registration has been lapsed for long. Only the leader does that; other VMs count the time, in
+// case they become the leader. It returns true if the next read has to be current and soon.
 func (s *Syncer) updateClaims(ctx context.Context, read *fleetRead) bool {
-	if read.vms.Leader != s.config.View.Self().Name {
-		return false
-	}
 	var added, lapsed, ended []string
 	for name, vm := range read.vms.ByName {
 		switch {
@@ -126,6 +123,9 @@
 			HearsMostNeighbours: s.config.HearsMostNeighbours(),
 		})
 	}
+	if read.vms.Leader != s.config.View.Self().Name {
+		return false
+	}
 	if len(added) == 0 && len(ended) == 0 {
 		return len(lapsed) > 0
 	}
--- a/engine/store/claim_test.go
+++ b/engine/store/claim_test.go
@@ -119,6 +119,42 @@
 		Expect(registrations.ByName).NotTo(HaveKey("vm1"))
 	})
 
+	It("is removed sooner by a leader that has made current reads before", func() {
+		// Guards against shares that nobody may use for the time that the previous leader had
+		// counted already. The VMs next in rank read the fleet while the leader is lost.
+		f.writeClaims(map[string]uint16{
+			"self": 1,
+			"vm1":  5,
+		})
+		f.fake.expireLease(lease)
+		for range 12 {
+			f.syncer.RefreshFleet()
+			advance(250 * time.Millisecond)
+		}
+		ranges := f.fake.countRanges()
+		lead()
+		advance(6 * time.Second)
+		Expect(f.claims()).To(HaveLen(2))
+		advance(3 * time.Second)
+		Expect(f.claims()).To(Equal([]string{"self"}))
+		Expect(f.fake.countRanges() - ranges).To(BeNumerically("<=", 10))
+	})
+
+	It("is not removed sooner by a leader that has made stale reads before", func() {
+		// Guards against a leader that takes old data for recent: the VM may have registered since.
+		f.writeClaims(map[string]uint16{
+			"self": 1,
+			"vm1":  5,
+		})
+		f.fake.expireLease(lease)
+		advance(9 * time.Second)
+		lead()
+		advance(9 * time.Second)
+		Expect(f.claims()).To(HaveLen(2))
+		advance(4 * time.Second)
+		Expect(f.claims()).To(Equal([]string{"self"}))
+	})
+
 	It("is not removed if the VM registers at the same time", func() {
 		// Guards against shares that others use although the VM may use them, too.
 		lead()
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -102,7 +102,7 @@
 	// registeredAt is the last time at which the store held a registration of this VM; 0 if it
 	// never did since the process started.
 	registeredAt atomic.Int64
-	// lapsedClaims are the claims whose registrations have lapsed, while this VM leads. Only
+	// lapsedClaims are the claims whose registrations have lapsed, as current reads have shown. Only
 	// FollowFleet uses it.
 	lapsedClaims limits.LapsedClaims
 	// intents are the intents of leaders in the last read of the fleet's keys.
