Keep an intent that names a requested promotion from being replaced

Cause: a leader that does not know the intent of an earlier one yet replaced it at the first conflict, also if the primary had stepped down already. It could then promote another endpoint than the one whose promotion may take effect.

Change: an unknown intent is replaced only if the primary leads still.

Result: the case "it has stepped down" fails without the condition.

--- a/engine/failover/intent.go
+++ b/engine/failover/intent.go
@@ -144,8 +144,9 @@
 
 // recordIntent writes the intent to replace a primary, unless this leader has written it already. It
 // is conditional on the last intent, so that a write without a response takes no effect after a
-// later one.
-func (m *Manager) recordIntent(ctx context.Context, name string, intent store.Intent) error {
+// later one. An intent that no read has shown yet is replaced only if the primary leads still:
+// otherwise it may name the successor whose promotion was requested.
+func (m *Manager) recordIntent(ctx context.Context, name string, intent store.Intent, leads bool) error {
 	if !m.IsLeader() {
 		return errNotLeader
 	}
@@ -186,10 +187,9 @@
 			return nil
 		}
 		var conflict *store.ConflictError
-		if !errors.As(err, &conflict) || conflict.Revisions[store.LeaderKey] != leaderRevision || conflict.Revisions[key] == revision {
+		if !leads || !errors.As(err, &conflict) || conflict.Revisions[store.LeaderKey] != leaderRevision || conflict.Revisions[key] == revision {
 			return eris.Wrap(err, "record the intent to replace a primary")
 		}
-		// No read has shown the intent of an earlier leader yet.
 		revision = conflict.Revisions[key]
 	}
 }
--- a/engine/failover/intent_test.go
+++ b/engine/failover/intent_test.go
@@ -215,6 +215,55 @@
 	})
 })
 
+var _ = Describe("the successor in a planned replacement", func() {
+	It("stays the same if its promotion has no effect in time", func() {
+		// Guards against the loss of commits that the first successor acknowledges if its promotion
+		// takes effect late, just before that of another one.
+		f := newFixture()
+		f.database.update(func() {
+			f.database.received["b"] = 50
+			f.database.ignoreRequests = 1
+		})
+		f.drain()
+		Eventually(f.database.requestedPromotions).WithTimeout(2 * time.Second).Should(Equal([]string{"b"}))
+		f.database.update(func() { f.database.received["c"] = 50 })
+		f.reportEndpoints("", func(id string, e *catalog.Endpoint) bool {
+			e.Draining = id != "c"
+			return true
+		})
+		Eventually(f.database.requestedPromotions).WithTimeout(5 * time.Second).Should(Equal([]string{"b", "b"}))
+	})
+})
+
+var _ = Describe("a leader that does not know the intent of an earlier one", func() {
+	DescribeTable("replaces it only if the primary leads",
+		// Guards against a planned replacement that fails for ever, and against the promotion of another
+		// endpoint than the one whose promotion was requested by a leader in between.
+		func(leads bool, successor string) {
+			f := newFixtureWith(func(f *fixture) {
+				f.store.intentsRead = f.store.Intents()
+				f.store.intentsRead.Leaderless = true
+				f.store.intentsRead.RequestedAt = f.view.SinceBoot()
+				f.writeIntent("c")
+				f.database.received["b"], f.database.received["c"] = 50, 50
+				if !leads {
+					f.database.primary = ""
+				}
+				f.drain()
+			})
+			if !leads {
+				Consistently(f.database.requestedPromotions).WithTimeout(time.Second).Should(BeEmpty())
+				f.store.mu.Lock()
+				f.store.intentsRead = nil
+				f.store.mu.Unlock()
+			}
+			Eventually(f.database.requestedPromotions).WithTimeout(2 * time.Second).Should(Equal([]string{successor}))
+		},
+		Entry("it leads", true, "b"),
+		Entry("it has stepped down", false, "c"),
+	)
+})
+
 var _ = Describe("a primary that does not confirm that it stepped down", func() {
 	var f *fixture
 
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -68,7 +68,8 @@
 // confirmed that it stepped down.
 func (m *Manager) handOver(ctx context.Context, name string, old catalog.Endpoint, before *endpoint.Report, cause string) bool {
 	log := m.config.Log.WithValues("database", name, "endpoint", old.Key.ID, "cause", cause)
-	if before.Role != catalog.RolePrimary && !m.mayRepeatStepDown(name, old) {
+	leads := before.Role == catalog.RolePrimary
+	if !leads && !m.mayRepeatStepDown(name, old) {
 		log.Info("A primary to be replaced has stepped down already; its replacement is continued.")
 		m.postponeSwitchover(name)
 		return false
@@ -84,7 +85,7 @@
 		Step:    takeover.StepDown,
 		Cause:   cause,
 	}
-	if err := m.recordIntent(ctx, name, intent); err != nil {
+	if err := m.recordIntent(ctx, name, intent, leads); err != nil {
 		log.Info("Could not record the intent to replace a primary, which stays.", "error", err.Error())
 		m.postponeSwitchover(name)
 		return false
