--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -63,6 +63,17 @@
 			s.PrimaryDraining = true
 			s.StoreHealthyFor = 0
 		}, takeover.KeepPrimary{}),
+		// Guards against a database without a primary for the time that a missing report takes.
+		Entry("it has stepped down for a leader that was lost", func(s *takeover.DatabaseState) {
+			s.PrimaryReported = false
+			s.IntentPending = true
+			s.StoreHealthyFor = time.Millisecond
+		}, takeover.ResumeReplacement{}),
+		Entry("it has stepped down, and the store does not respond", func(s *takeover.DatabaseState) {
+			s.PrimaryReported = false
+			s.IntentPending = true
+			s.StoreHealthyFor = 0
+		}, takeover.KeepPrimary{}),
 		Entry("a home cannot reach it, and the store has just come back", func(s *takeover.DatabaseState) {
 			s.PrimarySuspectedFor = time.Second
 			s.StoreHealthyFor = 2 * time.Second
@@ -200,6 +211,32 @@
 		}
 	})
 
+	It("prefers an endpoint that is not cold, but not to one with more of the log or of the routes", func() {
+		// Guards against a primary that refuses most requests after a replacement, although
+		// another one had the same log, and against the loss of log entries for that.
+		cold := takeover.Candidate{
+			ID:               "a",
+			ReceivedPosition: position(10),
+			SameRegion:       true,
+			Cold:             true,
+		}
+		warm := takeover.Candidate{
+			ID:               "z",
+			ReceivedPosition: position(10),
+		}
+		chosen := func() string {
+			first, _ := takeover.Choose([]takeover.Candidate{cold, warm})
+			second, _ := takeover.Choose([]takeover.Candidate{warm, cold})
+			Expect(first).To(Equal(second))
+			return first.ID
+		}
+		Expect(chosen()).To(Equal("z"))
+		cold.AllowingRoutes = 1
+		Expect(chosen()).To(Equal("a"))
+		cold.AllowingRoutes, cold.ReceivedPosition = 0, position(11)
+		Expect(chosen()).To(Equal("a"))
+	})
+
 	It("returns false without candidates", func() {
 		_, ok := takeover.Choose(nil)
 		Expect(ok).To(BeFalse())
--- a/engine/store/sync.go
+++ b/engine/store/sync.go
@@ -104,9 +104,11 @@
 	// registeredAt is the last time at which the store held a registration of this VM; 0 if it
 	// never did since the process started.
 	registeredAt atomic.Int64
-	// lapsedClaims are the claims whose registrations have lapsed, while this VM leads. Only
+	// lapsedClaims are the claims whose registrations have lapsed, as current reads have shown. Only
 	// FollowFleet uses it.
 	lapsedClaims limits.LapsedClaims
+	// intents are the intents of leaders in the last read of the fleet's keys.
+	intents atomic.Pointer[Intents]
 	// meanLatency is the moving average of the time that a read of the reports takes, in
 	// nanoseconds.
 	meanLatency   atomic.Int64
