End requests of the own interface that hold memory and stall

Cause: the memory of a request on the own interface belongs to the request, not to its connection, and nothing could end it: a body that stalls kept three times the longest request for 30 s (the ReadTimeout), and a response that its caller does not read kept its rows as long as the connection lives.

Change: proxy/reqmem holds the memory of a request and records its progress: 16 KiB of the body received, or 16 KiB of the response passed on. If others wait for memory, engine/budget also chooses among requests, by memory, time without progress and memory of the group, and ends the read of the body (refused as overloaded and not run) or the response (the stream is reset). Requests that run are spared. A holder in another part of the memory than the needed one is no longer ended, also on the line protocol: its memory was of no use.

The crowds of loadtool/faults/callers no longer accept compression, which had made the unread responses of 900 KiB short.

--- a/engine/budget/account.go
+++ b/engine/budget/account.go
@@ -11,13 +11,17 @@
 // requests return their memory within this time.
 const patience = 200 * time.Millisecond
 
-// Account is the memory of one connection. It is not safe for concurrent use, except that the
+// Account is the memory of one connection or request. It is not safe for concurrent use, except that the
 // Budget may close it. A nil Account has no limits.
 type Account struct {
 	budget *Budget
 	id     uint64
-	// end closes the connection; nil if it is not a caller's.
-	end      func()
+	// end closes the connection or ends the request; nil if others that need its memory cannot do
+	// so.
+	end func()
+	// connection is set for connections of callers, answers for answers of endpoints.
+	connection, answers bool
+
 	fixed    int64
 	openedAt time.Duration
 	closed   chan struct{}
@@ -46,6 +50,23 @@
 	}
 }
 
+// Stalled returns how long the caller has made no progress.
+func (a *Account) Stalled() time.Duration {
+	if a == nil {
+		return 0
+	}
+	return a.budget.config.Timer.SinceBoot() - time.Duration(a.progressAt.Load())
+}
+
+// Resume records what a request is doing, after a time without progress that counts on.
+func (a *Account) Resume(phase memory.Phase, stalled time.Duration) {
+	if a == nil {
+		return
+	}
+	a.progressAt.Store(int64(a.budget.config.Timer.SinceBoot() - stalled))
+	a.phase.Store(int32(phase))
+}
+
 // Limits returns the limits of the process.
 func (a *Account) Limits() Limits {
 	if a == nil {
@@ -92,6 +113,17 @@
 	return true
 }
 
+// TakeOrEndStalled takes memory if it is free. Otherwise it ends a request or connection that makes
+// no progress, so that the next one finds its memory.
+func (a *Account) TakeOrEndStalled(bytes int64) bool {
+	if a.TryTake(bytes) {
+		return true
+	}
+	a.budget.mu.Lock()
+	a.budget.endStalled(a, bytes)
+	return false
+}
+
 // Take waits for memory until a time. The error is ErrNoMemory or ErrClosed.
 func (a *Account) Take(bytes int64, deadline time.Time) error {
 	if a.TryTake(bytes) {
--- a/engine/budget/budget.go
+++ b/engine/budget/budget.go
@@ -109,7 +109,7 @@
 		return b.addConnection(end), true
 	}
 	now := b.config.Timer.SinceBoot()
-	victim, ok := memory.ChooseForConnection(b.holders(), b.config.Limits.Stall, now)
+	victim, ok := memory.ChooseForConnection(b.holders(func(a *Account) bool { return a.connection }), b.config.Limits.Stall, now)
 	if !ok {
 		b.mu.Unlock()
 		b.Count("connectionRefused")
@@ -130,34 +130,54 @@
 }
 
 // Open returns an account for statements that other VMs forward.
-func (b *Budget) Open(group string) *Account {
+func (b *Budget) Open(group string) *Account { return b.OpenRequest(group, nil) }
+
+// OpenRequest returns an account for the body of a request, whose function end ends the request if
+// others need its memory; nil if it is not ended.
+func (b *Budget) OpenRequest(group string, end func()) *Account {
 	if b == nil {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.add(0, nil)
+	a := b.add(0, end)
+	a.group = group
 	b.memory.Add(a.id, group)
 	return a
 }
 
 // OpenAnswers returns an account for answers of endpoints.
-func (b *Budget) OpenAnswers(group string) *Account {
+func (b *Budget) OpenAnswers(group string) *Account { return b.OpenResponse(group, nil) }
+
+// OpenResponse returns an account for the answer of an endpoint and the response with it, whose
+// function end ends the request if others need its memory; nil if it is not ended.
+func (b *Budget) OpenResponse(group string, end func()) *Account {
 	if b == nil {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.add(0, nil)
+	a := b.add(0, end)
+	a.group, a.answers = group, true
 	b.memory.AddAnswers(a.id, group)
 	return a
 }
 
+// UsedBy returns the bytes that a workspace holds.
+func (b *Budget) UsedBy(group string) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.memory.UsedBy(group)
+}
+
 // addConnection adds the account of a connection, whose memory is taken already. The lock must be
 // held.
 func (b *Budget) addConnection(end func()) *Account {
 	a := b.add(ConnectionBytes, end)
+	a.connection = true
+	b.connections++
 	b.memory.Add(a.id, memory.Anonymous)
+	b.update()
 	return a
 }
 
@@ -175,10 +195,6 @@
 	}
 	a.progressAt.Store(int64(now))
 	b.accounts[a.id] = a
-	if end != nil {
-		b.connections++
-	}
-	b.update()
 	return a
 }
 
@@ -192,16 +208,17 @@
 	a.retired = true
 	close(a.closed)
 	b.memory.ReleaseFixed(a.fixed)
-	if a.end != nil {
+	if a.connection {
 		b.connections--
 	}
 }
 
-// holders returns the connections that may be closed. The lock must be held.
-func (b *Budget) holders() []memory.Holder {
+// holders returns the connections and requests that may be ended and for which a function returns
+// true. The lock must be held.
+func (b *Budget) holders(include func(*Account) bool) []memory.Holder {
 	holders := make([]memory.Holder, 0, len(b.accounts))
 	for _, a := range b.accounts {
-		if a.end == nil || a.retired {
+		if a.end == nil || a.retired || !include(a) {
 			continue
 		}
 		holders = append(holders, memory.Holder{
@@ -216,19 +233,30 @@
 	return holders
 }
 
-// relieve closes the connection that holds much memory and makes no progress, for a request that
-// waits.
+// relieve ends the connection or request that holds much memory and makes no progress, for a
+// request that waits.
 func (b *Budget) relieve(waiting *Account, bytes int64) {
 	b.mu.Lock()
+	if _, waits := b.waiting[waiting.id]; !waits {
+		b.mu.Unlock()
+		return
+	}
+	b.endStalled(waiting, bytes)
+}
+
+// endStalled ends the connection or request that holds much memory, and makes no progress, in the
+// part of the memory that an account needs. The lock must be held; it is released.
+func (b *Budget) endStalled(needing *Account, bytes int64) {
 	now := b.config.Timer.SinceBoot()
-	if _, waits := b.waiting[waiting.id]; !waits || now-b.relievedAt < reliefInterval {
+	if now-b.relievedAt < reliefInterval {
 		b.mu.Unlock()
 		return
 	}
 	b.relievedAt = now
-	holders := b.holders()
-	if b.memory.LimitedByGroup(waiting.id, bytes) {
-		holders = slices.DeleteFunc(holders, func(h memory.Holder) bool { return h.Group != waiting.group })
+	// Memory for answers is a part of its own, to which other memory is of no use.
+	holders := b.holders(func(a *Account) bool { return a.answers == needing.answers })
+	if b.memory.LimitedByGroup(needing.id, bytes) {
+		holders = slices.DeleteFunc(holders, func(h memory.Holder) bool { return h.Group != needing.group })
 	}
 	victim, ok := memory.ChooseForMemory(holders, b.memory.UsedBy, FreeBytes, b.config.Limits.Stall, now)
 	if !ok {
--- a/engine/budget/budget_test.go
+++ b/engine/budget/budget_test.go
@@ -110,6 +110,25 @@
 		Expect(f.count("closedForMemory")).To(Equal(int64(1)))
 	})
 
+	// Guards against connections that are closed although their memory is of no use to an answer.
+	It("of another part is not taken for an answer", func() {
+		idle := f.connect()
+		Expect(idle.Take(large, f.clock.Now())).To(Succeed())
+		unread := &connection{}
+		unread.Account = f.budget.OpenResponse("w1", func() { unread.ended.Store(true) })
+		Expect(unread.Take(2<<20, f.clock.Now())).To(Succeed())
+		unread.SetPhase(memory.Sending)
+		f.clock.Advance(10 * time.Second)
+		waiting := &connection{Account: f.budget.OpenAnswers("w2")}
+		result := f.take(waiting, 1<<20)
+		f.clock.Advance(250 * time.Millisecond)
+		Eventually(unread.ended.Load).Should(BeTrue())
+		unread.Close()
+		Eventually(result).Should(Receive(BeNil()))
+		Expect(idle.ended.Load()).To(BeFalse())
+		Expect(f.count("closedForMemory")).To(Equal(int64(1)))
+	})
+
 	It("is refused after the time limit, or once the connection is closed", func() {
 		first, second, third := f.connect(), f.connect(), f.connect()
 		Expect(first.Take(2*large, f.clock.Now())).To(Succeed())
--- a/loadtool/faults/callers/callers_test.go
+++ b/loadtool/faults/callers/callers_test.go
@@ -61,7 +61,9 @@
 	*harness.Deployment
 	vm       *harness.VM
 	database string
+	// key is the key of the crowds' workspace, otherKey that of another workspace.
 	key      string
+	otherKey string
 	baseURL  string
 	crowds   []*http.Transport
 }
@@ -100,8 +102,10 @@
 	spec := harness.Saltmyri()
 	spec.Databases = spec.Databases[:1]
 	spec.VMs = []string{"olfusa"}
-	spec.Workspaces = spec.Workspaces[:1]
-	spec.Workspaces[0].Rate, spec.Workspaces[0].Burst = 5000, 5000
+	spec.Workspaces = spec.Workspaces[:2]
+	for i := range spec.Workspaces {
+		spec.Workspaces[i].Rate, spec.Workspaces[i].Burst = 5000, 5000
+	}
 	d := &deployment{database: spec.Databases[0]}
 	d.Deployment, err = harness.Start(ctx, harness.Config{
 		Spec:       spec,
@@ -109,7 +113,9 @@
 		WorkDir:    GinkgoT().TempDir(),
 		Subnet:     subnet,
 		VMSettings: vmSettings,
-		Timer:      timer.NewSystem(),
+		// The crowds connect to the listener for VMs, too.
+		DisablePeerTLS: true,
+		Timer:          timer.NewSystem(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
@@ -121,7 +127,7 @@
 	d.vm = d.VMs[0]
 	d.baseURL = "http://" + d.vm.Caller.String()
 	declared := d.NewDeclaration()
-	d.key = declared.Keys[spec.Workspaces[0].Name]
+	d.key, d.otherKey = declared.Keys[spec.Workspaces[0].Name], declared.Keys[spec.Workspaces[1].Name]
 	Expect(d.Apply(ctx, declared)).To(Succeed())
 	d.expectServed(ctx)
 	return d
@@ -130,8 +136,13 @@
 // vmSettings are the settings of the limits.
 var vmSettings = fmt.Sprintf("memoryMiB: %d\nmaxDescriptors: %d\n", memoryMiB, maxDescriptors)
 
-// execute runs a statement as an ordinary caller.
+// execute runs a statement as an ordinary caller of the crowds' workspace.
 func (d *deployment) execute(ctx context.Context, statement client.Statement) error {
+	return d.executeAs(ctx, d.key, statement)
+}
+
+// executeAs runs a statement with a key.
+func (d *deployment) executeAs(ctx context.Context, key string, statement client.Statement) error {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	transport := &http.Transport{}
@@ -139,7 +150,7 @@
 	c, err := client.New(client.Config{
 		BaseURL:    d.baseURL,
 		HTTPClient: &http.Client{Transport: transport},
-		Key:        d.key,
+		Key:        key,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	statement.Database = d.database
@@ -193,7 +204,11 @@
 func (d *deployment) transport() *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	t := &http.Transport{Protocols: protocols}
+	t := &http.Transport{
+		Protocols: protocols,
+		// The rows of the crowds would be much shorter when compressed.
+		DisableCompression: true,
+	}
 	d.crowds = append(d.crowds, t)
 	return t
 }
--- a/proxy/caller/handler.go
+++ b/proxy/caller/handler.go
@@ -26,6 +26,7 @@
 	"amaranthdock.dev/declaration"
 	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/proxy/peer"
+	"amaranthdock.dev/proxy/reqmem"
 	"amaranthdock.dev/timer"
 )
 
@@ -148,8 +149,12 @@
 		defer c.inFlight.Begin()()
 		started := c.config.Timer.Now()
 		defer func() { c.requestDuration.Update(c.config.Timer.Now().Sub(started)) }()
-		held := &requestMemory{}
-		defer held.close()
+		held := reqmem.New(reqmem.Config{
+			Budget:   c.config.Budget,
+			Timer:    c.config.Timer,
+			Response: response,
+		})
+		defer held.Close()
 		if err := c.readBody(response, request, held); err != nil {
 			// The handler responds to a request of an unknown protocol.
 			if errorWriter.IsSupported(request) {
@@ -159,10 +164,10 @@
 		}
 		methodReached := false
 		errorFilter := &earlyErrorWriter{
-			ResponseWriter: response,
+			ResponseWriter: held.Writer(response),
 			methodReached:  &methodReached,
 		}
-		ctx := context.WithValue(withMethodReached(request.Context(), &methodReached), requestMemoryKey{}, held)
+		ctx := held.WithContext(withMethodReached(request.Context(), &methodReached))
 		handler.ServeHTTP(errorFilter, request.WithContext(ctx))
 		if refused := errorFilter.refusal(); refused != nil {
 			_ = errorWriter.Write(response, request, c.callerError(refused, "", c.configurationVersion()))
@@ -175,9 +180,12 @@
 
 // readBody reads and decompresses the body before the handler does, so that a request
 // that is too large gets a refusal with a Refusal detail.
-func (c *Caller) readBody(response http.ResponseWriter, request *http.Request, held *requestMemory) error {
+func (c *Caller) readBody(response http.ResponseWriter, request *http.Request, held *reqmem.Request) error {
 	limit := int64(c.config.MaxRequestBytes + envelopeBytes)
 	body, err := c.readLimited(request, limit, held)
+	if !held.EndBody() {
+		return refusal.NewNotRun(refusal.Overloaded, "the request was ended, because it stalled and others need its memory")
+	}
 	// The ReadTimeout of the server is for the body only. Otherwise it would end requests over
 	// HTTP/1 that are still running then. Without a server, as in tests, there is none.
 	_ = http.NewResponseController(response).SetReadDeadline(time.Time{})
--- a/proxy/caller/memory.go
+++ b/proxy/caller/memory.go
@@ -14,14 +14,13 @@
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/engine/budget"
 	"amaranthdock.dev/proxy/peer"
+	"amaranthdock.dev/proxy/reqmem"
 )
 
 const (
 	// bodyCopies is how often a long request is in memory while it runs: as it was received, as a
 	// message, and as it is forwarded.
 	bodyCopies = 3
-	// rowCopies is how often rows are in memory: as they were received, and as they are encoded.
-	rowCopies = 2
 	// memoryWait limits the wait for the memory of a long request. Requests that wait longer would
 	// miss their deadlines.
 	memoryWait = 3 * time.Second
@@ -40,87 +39,60 @@
 	return p.workspace
 }
 
-// requestMemory holds the memory of a request until its response was sent.
-type requestMemory struct{ body, rows *budget.Account }
-
-func (m *requestMemory) close() {
-	m.body.Close()
-	m.rows.Close()
-}
-
-// requestMemoryKey is the key of the requestMemory in a request's context.
-type requestMemoryKey struct{}
-
 // readLimited reads a body up to the limit and one byte more. Beyond the first part it reads on
 // only with the memory for the longest request, of which it keeps what the body needs.
-func (c *Caller) readLimited(request *http.Request, limit int64, held *requestMemory) ([]byte, error) {
-	if c.config.Budget == nil {
+func (c *Caller) readLimited(request *http.Request, limit int64, held *reqmem.Request) ([]byte, error) {
+	if held == nil {
 		return io.ReadAll(io.LimitReader(request.Body, limit+1))
 	}
 	first, err := io.ReadAll(io.LimitReader(request.Body, budget.FreeBytes))
 	if err != nil || len(first) < budget.FreeBytes {
 		return first, err
 	}
-	held.body = c.config.Budget.Open(c.group(request.Header))
 	longest := (limit + 1) * bodyCopies
-	if err := held.body.Take(longest, c.config.Timer.Now().Add(memoryWait)); err != nil {
+	if err := held.TakeBody(c.group(request.Header), longest, c.config.Timer.Now().Add(memoryWait)); err != nil {
 		c.config.Budget.Count("noMemory")
 		return nil, refusal.NewNotRun(refusal.Overloaded, "this VM has no memory left for the request")
 	}
 	body := bytes.NewBuffer(make([]byte, 0, limit+1+bytes.MinRead))
 	body.Write(first)
-	_, err = body.ReadFrom(io.LimitReader(request.Body, limit+1-int64(len(first))))
-	held.body.Release(longest - int64(body.Len())*bodyCopies)
+	_, err = body.ReadFrom(io.LimitReader(held.Body(request.Body), limit+1-int64(len(first))))
+	held.ReleaseBody(longest - int64(body.Len())*bodyCopies)
 	return body.Bytes(), err
 }
 
 // rowMemory takes the memory of the rows of a response that is sent as a whole.
 type rowMemory struct {
-	budget *budget.Budget
+	held   *reqmem.Request
 	group  string
-	held   *requestMemory
 	length int64
 	// refused is set once there was no memory, or the rows were too long.
 	refused *refusal.Error
 }
 
-// add takes the memory of rows: as they were received, and as they are encoded.
+// add takes the memory of rows, as far as it was not taken before they were received.
 func (m *rowMemory) add(rows []*callerv1.Row) error {
-	if m.budget == nil || m.held == nil {
+	if m.held == nil {
 		return nil
 	}
 	if m.refused != nil {
 		return m.refused
 	}
-	more := int64(0)
 	for _, row := range rows {
-		more += int64(proto.Size(row))
+		m.length += int64(proto.Size(row))
 	}
-	m.length += more
-	if m.length <= budget.FreeBytes {
-		return nil
-	}
-	if m.held.rows == nil {
-		m.held.rows, more = m.budget.OpenAnswers(m.group), m.length
-	}
-	reason := "noMemory"
-	if m.length > m.budget.Limits().AnswerBytes {
-		reason = "answerTooLong"
-	} else if m.held.rows.TryTake(more * rowCopies) {
-		return nil
+	if err := m.held.HoldReceived(m.group, m.length); err != nil {
+		m.refused = refusal.NewUnknown(refusal.Overloaded, "this VM has no memory left for the rows")
+		return m.refused
 	}
-	m.budget.Count(reason)
-	m.refused = refusal.NewUnknown(refusal.Overloaded, "this VM has no memory left for the rows")
-	return m.refused
+	return nil
 }
 
 // collectRows returns a function that collects the rows of a response that is sent as a whole.
 func (c *Caller) collectRows(ctx context.Context, r *request, rows *[]*callerv1.Row) peer.SendRows {
-	held, _ := ctx.Value(requestMemoryKey{}).(*requestMemory)
 	m := &rowMemory{
-		budget: c.config.Budget,
-		group:  r.workspace,
-		held:   held,
+		held:  reqmem.FromContext(ctx),
+		group: r.workspace,
 	}
 	return func(more []*callerv1.Row) error {
 		if err := m.add(more); err != nil {
