Charge forwarded statements and responses of endpoints before they are read

Cause: statements that other VMs forward and responses of endpoints were limited by the library's size of a message, or not at all, so that the budget knew of them only once they were in memory; a response that nobody reads then made others be refused.

The transport of NewHTTPClient charges each message of a response by the length in its prefix: at the home for the step that runs on the connection, and at the entry VM for a response of another VM. The memory is that of the caller's request if the home is the entry VM, so that it is taken once and the response is ended by its progress. With a budget the buffers of these streams are 256 and 128 KiB instead of 4 MiB. The fake endpoint's client in the tests of proxy/endpoint now has the options of the product.

--- a/loadtool/faults/callers/stalled_test.go
+++ b/loadtool/faults/callers/stalled_test.go
@@ -1,6 +1,7 @@
 package callers_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -133,4 +134,23 @@
 		Entry("over HTTP/1", true),
 		Entry("over HTTP/2", false),
 	)
+
+	// Guards against responses that nobody reads and that keep the memory for the responses of
+	// others as long as their connections live.
+	It("is returned by responses that nobody reads", func(ctx SpecContext) {
+		Expect(d.execute(ctx, client.Statement{
+			Command:   "put",
+			Arguments: []string{"large", strings.Repeat("x", rowLength)},
+			Write:     true,
+		})).To(Succeed())
+		message := d.message(callerv1.Access_ACCESS_READ, "get", "large")
+		crowd := inBackground(ctx, func(ctx context.Context) {
+			d.stall(ctx, false, func() io.ReadCloser { return io.NopCloser(bytes.NewReader(message)) })
+		})
+		time.Sleep(2 * time.Second)
+		d.expectOtherServed(ctx, crowd, client.Statement{
+			Command:   "get",
+			Arguments: []string{"large"},
+		})
+	})
 })
--- a/loadtool/harness/vm.go
+++ b/loadtool/harness/vm.go
@@ -24,6 +24,9 @@
 	return live
 }
 
+// Peer returns the address on which the VM listens for other VMs.
+func (v *VM) Peer() netip.AddrPort { return v.peerAddress.listen }
+
 // WaitReady waits until the VM reports that it is ready.
 func (d *Deployment) WaitReady(ctx context.Context, v *VM) error {
 	return WaitFor(ctx, d.config.Timer, readyTimeout, func() error {
--- a/proxy/components.go
+++ b/proxy/components.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 
+	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
@@ -70,12 +71,16 @@
 	b.components.budget = b.newBudget()
 	b.components.peerMessages = peer.NewMessageTraffic(b.registry)
 	b.components.peerConnections = peer.NewConnectionTraffic("peer.server", b.registry)
-	b.peers = peer.NewClients(peer.ClientConfig{
+	peers := peer.ClientConfig{
 		LocalAddress:      b.settings().PeerListen.Addr(),
 		ConnectionTraffic: peer.NewConnectionTraffic("peer.client", b.registry),
 		MessageTraffic:    b.components.peerMessages,
 		TLS:               loaded.PeerClientTLS,
-	})
+	}
+	if b.components.budget != nil {
+		peers.MaxMessageBytes, peers.MaxStreamBuffer = maxPeerMessageBytes, peerStreamBuffer
+	}
+	b.peers = peer.NewClients(peers)
 	b.components.dumps = observe.NewDumps(observe.DumpsConfig{
 		VM:    b.settings().VM,
 		Timer: b.timer,
@@ -120,12 +125,18 @@
 // dialEndpoint returns a function that returns a client for an endpoint's address. All
 // these clients share one HTTP client, whose traffic is counted under the given name.
 func (b *builder) dialEndpoint(name string) func(netip.AddrPort) endpointv1connect.EndpointServiceClient {
-	client := peer.NewHTTPClient(peer.ClientConfig{
+	config := peer.ClientConfig{
 		LocalAddress:      b.settings().PeerListen.Addr(),
 		ConnectionTraffic: peer.NewConnectionTraffic(name, b.registry),
-	})
+	}
+	options := peer.EndpointClientOptions()
+	if limits := b.components.budget; limits != nil {
+		config.MaxStreamBuffer = endpointStreamBuffer
+		options = append(options, connect.WithReadMaxBytes(int(limits.Limits().AnswerBytes)))
+	}
+	client := peer.NewHTTPClient(config)
 	return func(address netip.AddrPort) endpointv1connect.EndpointServiceClient {
-		return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String(), peer.EndpointClientOptions()...)
+		return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String(), options...)
 	}
 }
 
--- a/proxy/endpoint/connection.go
+++ b/proxy/endpoint/connection.go
@@ -9,13 +9,19 @@
 
 	endpointv1 "amaranthdock.dev/api/amaranthdock/endpoint/v1"
 	"amaranthdock.dev/api/amaranthdock/endpoint/v1/endpointv1connect"
+	"amaranthdock.dev/decision/memory"
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/proxy/peer"
+	"amaranthdock.dev/proxy/reqmem"
 )
 
 // errNotSent is returned if the connection was broken before the step was sent, so
 // the endpoint cannot have run it.
 var errNotSent = eris.New("the connection was broken before the step was sent")
 
+// errUnexpected is returned for a long message that belongs to no step.
+var errUnexpected = eris.New("the endpoint sent a long message without a step")
+
 // stream contains the methods of the connect-go stream that a connection uses.
 type stream interface {
 	CloseRequest() error
@@ -34,11 +40,18 @@
 	broken  error
 	pending map[uint64]*pendingStep
 	lastID  uint64
+	// current is the step that runs; nil between steps.
+	current *pendingStep
 }
 
 // pendingStep is a step that waits for its response.
 type pendingStep struct {
 	assembler responseAssembler
+	// memory is that of the step's request, group its workspace.
+	memory *reqmem.Request
+	group  string
+	// received is the length of the messages that were received since the step was sent.
+	received int64
 	// result has a buffer of one and receives exactly one value.
 	result chan stepResult
 }
@@ -59,7 +72,7 @@
 		cancel:  cancel,
 		pending: map[uint64]*pendingStep{},
 	}
-	err := c.handshake(streamCtx, client, proxy)
+	err := c.handshake(peer.WithCharge(streamCtx, c.charge), client, proxy)
 	if !stop() && err == nil {
 		err = eris.New("the endpoint did not send a welcome frame in time")
 	}
@@ -195,7 +208,11 @@
 	if ctx.Err() != nil {
 		return response{}, refusal.NewNotRun(refusal.DeadlineExceeded, "the deadline passed before the step was sent")
 	}
-	pending := &pendingStep{result: make(chan stepResult, 1)}
+	pending := &pendingStep{
+		memory: reqmem.FromContext(ctx),
+		group:  step.GetWorkspace(),
+		result: make(chan stepResult, 1),
+	}
 	c.mu.Lock()
 	if c.broken != nil {
 		c.mu.Unlock()
@@ -204,7 +221,9 @@
 	c.lastID++
 	step.Id = c.lastID
 	c.pending[step.Id] = pending
+	c.current = pending
 	c.mu.Unlock()
+	defer c.endCurrent(pending)
 
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
@@ -224,6 +243,47 @@
 	return result.response, result.err
 }
 
+// endCurrent records that a step has ended.
+func (c *connection) endCurrent(ended *pendingStep) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == ended {
+		c.current = nil
+	}
+}
+
+// charge takes the memory of a message of the endpoint before it is read. If it fails, the current
+// step fails and the connection ends: the endpoint has run the step.
+func (c *connection) charge(length int64) error {
+	c.mu.Lock()
+	current := c.current
+	c.mu.Unlock()
+	if current == nil {
+		// Such a message is discarded.
+		if length > memory.SmallHolding {
+			return errUnexpected
+		}
+		return nil
+	}
+	current.received += length
+	err := current.memory.HoldAnswer(current.group, current.received, length)
+	if err == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken == nil {
+		c.broken = err
+	}
+	for id, pending := range c.pending {
+		if pending == current {
+			delete(c.pending, id)
+			pending.result <- stepResult{err: refusal.NewUnknown(refusal.Overloaded, "the home VM has no memory left for the response of the endpoint")}
+		}
+	}
+	return err
+}
+
 func decodeFailure(failure *endpointv1.Failure) error {
 	reason := refusal.Reason(failure.GetReason())
 	if reason == "" {
--- a/proxy/endpoint/fixture_test.go
+++ b/proxy/endpoint/fixture_test.go
@@ -294,7 +294,7 @@
 	home, err := New(Config{
 		Configuration: f,
 		Dial: func(address netip.AddrPort) endpointv1connect.EndpointServiceClient {
-			return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String())
+			return endpointv1connect.NewEndpointServiceClient(client, "http://"+address.String(), peer.EndpointClientOptions()...)
 		},
 		Directory: f,
 		NewQueue:  func(c QueueConfig) Queue { return &fifo{slots: c.Slots} },
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -41,6 +41,13 @@
 	// 20 ms.
 	maxConnectionBuffer = 256 << 10
 	maxStreamBuffer     = 64 << 10
+	// endpointStreamBuffer limits what an endpoint may have sent over a connection that was not read
+	// yet, because the memory for it is not free. It allows 12 MB/s at a round trip of 20 ms.
+	endpointStreamBuffer = 256 << 10
+	// peerStreamBuffer is the same for another VM. Many responses of VMs may wait for memory at once,
+	// while an endpoint runs as many statements as it has slots. It allows 3.2 MB/s at a round trip of
+	// 40 ms, which is little less than 30 Mbit/s.
+	peerStreamBuffer = 128 << 10
 	// memoryLimitPercent is the part of the process's memory that the Go runtime may use; the rest
 	// is left for the kernel and the C library.
 	memoryLimitPercent = 60
--- a/proxy/peer/dial.go
+++ b/proxy/peer/dial.go
@@ -59,6 +59,12 @@
 	// MessageTraffic counts the messages of Clients; nil counts nothing. NewHTTPClient
 	// ignores it.
 	MessageTraffic *MessageTraffic
+	// MaxMessageBytes limits a response message of Clients, also when decompressed; 0 means no limit.
+	// NewHTTPClient ignores it.
+	MaxMessageBytes int
+	// MaxStreamBuffer limits what was received in bytes of a response and was not read yet; 0 means
+	// the default of the library, 4 MiB.
+	MaxStreamBuffer int
 	// TLS is the TLS configuration; nil means connections without TLS.
 	TLS *tls.Config
 }
@@ -81,6 +87,9 @@
 		scheme:  Scheme(config.TLS),
 		clients: map[netip.AddrPort]peerv1connect.PeerServiceClient{},
 	}
+	if config.MaxMessageBytes > 0 {
+		c.options = append(c.options, connect.WithReadMaxBytes(config.MaxMessageBytes))
+	}
 	if config.MessageTraffic != nil {
 		c.options = append(c.options, connect.WithInterceptors(config.MessageTraffic))
 	}
@@ -112,7 +121,7 @@
 	protocols.SetHTTP2(config.TLS != nil)
 	protocols.SetUnencryptedHTTP2(config.TLS == nil)
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: chargedTransport{&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -121,8 +130,9 @@
 				return config.ConnectionTraffic.wrapConn(conn), nil
 			},
 			HTTP2: &http.HTTP2Config{
-				SendPingTimeout: sendPingTimeout,
-				PingTimeout:     pingTimeout,
+				SendPingTimeout:           sendPingTimeout,
+				PingTimeout:               pingTimeout,
+				MaxReceiveBufferPerStream: config.MaxStreamBuffer,
 			},
 			IdleConnTimeout: idleTimeout,
 			DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -131,7 +141,7 @@
 			Protocols:           protocols,
 			TLSClientConfig:     config.TLS,
 			TLSHandshakeTimeout: dialTimeout,
-		},
+		}},
 	}
 }
 
--- a/proxy/peer/forwarder.go
+++ b/proxy/peer/forwarder.go
@@ -13,6 +13,7 @@
 	peerv1 "amaranthdock.dev/api/amaranthdock/peer/v1"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/routing"
+	"amaranthdock.dev/proxy/reqmem"
 )
 
 // Directory provides the addresses of peers.
@@ -72,6 +73,16 @@
 	// The cancellation ends the stream if send fails before all rows are received.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var refused error
+	held := reqmem.FromContext(ctx)
+	// This takes the memory of one message as it is sent, which may be compressed. Whoever keeps the
+	// rows takes the rest.
+	ctx = WithCharge(ctx, func(length int64) error {
+		if err := held.HoldAnswer(request.GetWorkspace(), length, length); err != nil {
+			refused = refusal.NewUnknown(refusal.Overloaded, "this VM has no memory left for the response")
+		}
+		return refused
+	})
 	stream, err := client.Forward(ctx, request)
 	if err != nil {
 		return transportFailure(ctx, err)
@@ -90,6 +101,9 @@
 			return verifyTotal(result, total)
 		}
 	}
+	if refused != nil {
+		return EncodeRefusal(refused)
+	}
 	if err := stream.Err(); err != nil {
 		return transportFailure(ctx, err)
 	}
--- a/proxy/reqmem/reqmem.go
+++ b/proxy/reqmem/reqmem.go
@@ -17,8 +17,9 @@
 // ErrTooLong means that an answer is longer than the limit.
 var ErrTooLong = errors.New("the answer is longer than the limit")
 
-// answerCopies is how often an answer is in memory: as it was received, and as it is encoded.
-const answerCopies = 2
+// receivedCopies is how often an answer that is sent as a whole is in memory: as it was received, and
+// as it is encoded.
+const receivedCopies = 2
 
 // answerWait limits the wait for the memory of an answer. Requests that wait longer would miss their
 // deadlines.
@@ -146,10 +147,10 @@
 	return true
 }
 
-// HoldAnswer waits for the memory of an answer of which a length is known and that is not read yet.
-// It returns ErrTooLong beyond the limit.
-func (r *Request) HoldAnswer(group string, length int64) error {
-	return r.holdAnswer(group, length, func(account *budget.Account, bytes int64) error {
+// HoldAnswer waits for the memory of an answer of which a length is known, and of which a part is not
+// read yet. That part is in memory twice while it is decoded. It returns ErrTooLong beyond the limit.
+func (r *Request) HoldAnswer(group string, length, part int64) error {
+	return r.holdAnswer(group, length, length+part, func(account *budget.Account, bytes int64) error {
 		if account.TryTake(bytes) {
 			return nil
 		}
@@ -162,7 +163,7 @@
 // HoldReceived takes the memory of an answer that was received. It does not wait, because the answer
 // is in memory already, but ends a request that stalls, so that the next one finds its memory.
 func (r *Request) HoldReceived(group string, length int64) error {
-	return r.holdAnswer(group, length, func(account *budget.Account, bytes int64) error {
+	return r.holdAnswer(group, length, length*receivedCopies, func(account *budget.Account, bytes int64) error {
 		if account.TakeOrEndStalled(bytes) {
 			return nil
 		}
@@ -170,14 +171,14 @@
 	})
 }
 
-// holdAnswer takes with a function what an answer of a length lacks.
-func (r *Request) holdAnswer(group string, length int64, take func(*budget.Account, int64) error) error {
+// holdAnswer takes with a function what an answer of a length lacks of a number of bytes.
+func (r *Request) holdAnswer(group string, length, bytes int64, take func(*budget.Account, int64) error) error {
 	if r == nil || length <= budget.FreeBytes {
 		return nil
 	}
 	r.answerMu.Lock()
 	defer r.answerMu.Unlock()
-	limits, bytes := r.config.Budget.Limits(), length*answerCopies
+	limits := r.config.Budget.Limits()
 	if length > limits.AnswerBytes || bytes > memory.MaxAnswer(limits.MemoryBytes) {
 		r.config.Budget.Count("answerTooLong")
 		return ErrTooLong
--- a/proxy/reqmem/reqmem_test.go
+++ b/proxy/reqmem/reqmem_test.go
@@ -124,7 +124,7 @@
 			url, client := serve(http2, func(w http.ResponseWriter, _ *http.Request) {
 				r := newRequest(b, w)
 				defer r.Close()
-				if r.HoldAnswer("w1", answerLength) == nil {
+				if r.HoldAnswer("w1", answerLength, answerLength) == nil {
 					close(taken)
 				}
 				var err error
@@ -137,7 +137,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(response.Body.Close)
 			Eventually(taken).Should(BeClosed())
-			expectGranted(func(other *reqmem.Request) error { return other.HoldAnswer("w2", answerLength) }, b)
+			expectGranted(func(other *reqmem.Request) error { return other.HoldAnswer("w2", answerLength, answerLength) }, b)
 			Eventually(result).Should(Receive(HaveOccurred()))
 		},
 		Entry("HTTP/1", false),
@@ -169,14 +169,14 @@
 		r := newRequest(b, nil)
 		defer r.Close()
 		ctx := r.WithContext(context.Background())
-		Expect(reqmem.FromContext(ctx).HoldAnswer("w", answerLength)).To(Succeed())
-		Expect(reqmem.FromContext(ctx).HoldAnswer("w", answerLength)).To(Succeed())
-		Expect(r.HoldAnswer("w", total)).To(MatchError(reqmem.ErrTooLong))
+		Expect(reqmem.FromContext(ctx).HoldAnswer("w", answerLength, answerLength)).To(Succeed())
+		Expect(reqmem.FromContext(ctx).HoldAnswer("w", answerLength, answerLength)).To(Succeed())
+		Expect(r.HoldAnswer("w", total, 1)).To(MatchError(reqmem.ErrTooLong))
 	})
 
 	It("is not limited without a budget", func() {
 		var r *reqmem.Request
-		Expect(r.HoldAnswer("w", 1<<40)).To(Succeed())
+		Expect(r.HoldAnswer("w", 1<<40, 1<<40)).To(Succeed())
 		Expect(r.EndBody()).To(BeTrue())
 		Expect(reqmem.FromContext(r.WithContext(context.Background()))).To(BeNil())
 	})
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -98,8 +98,13 @@
 	callerMux := http.NewServeMux()
 	callerMux.Handle(c.caller.HTTPHandler())
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peerv1connect.NewPeerServiceHandler(c.peer, connect.WithInterceptors(c.peerMessages),
-		connect.WithReadMaxBytes(maxPeerMessageBytes), peer.HandlerOptions()))
+	peerPath, peerHandler := peerv1connect.NewPeerServiceHandler(c.peer, connect.WithInterceptors(c.peerMessages),
+		connect.WithReadMaxBytes(maxPeerMessageBytes), peer.HandlerOptions())
+	peerMux.Handle(peerPath, peer.LimitForwards(peer.LimitConfig{
+		Budget:          c.budget,
+		Timer:           timer.NewSystem(),
+		MaxMessageBytes: maxPeerMessageBytes,
+	}, peerHandler))
 	operatorMux := http.NewServeMux()
 	operatorMux.Handle(c.operator.Handler())
 	peerServer := newServer("peer", s.PeerListen, loaded.PeerServerTLS, peerMux)
