Test that trickling requests make no progress

Cause: the tests of proxy/reqmem had a body that stops, but none that trickles, and nothing covered a stream of which the caller reads little of each part.

Change: the stalled body sends a byte every 20 ms, and a response whose parts are each read just below the stall time is ended. No change of behaviour.

--- a/proxy/reqmem/reqmem_test.go
+++ b/proxy/reqmem/reqmem_test.go
@@ -71,6 +71,25 @@
 	return server.URL, &http.Client{Transport: transport}
 }
 
+// trickle writes a byte from time to time, which is no progress.
+func trickle(w io.Writer) {
+	for {
+		if _, err := w.Write([]byte("x")); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// slowResponse is a response whose caller reads each part just before it would count as stalled.
+type slowResponse struct{ *httptest.ResponseRecorder }
+
+// Write implements io.Writer.
+func (s slowResponse) Write(data []byte) (int, error) {
+	time.Sleep(60 * time.Millisecond)
+	return len(data), nil
+}
+
 // expectGranted expects that another request gets the memory.
 func expectGranted(take func(other *reqmem.Request) error, b *budget.Budget) {
 	GinkgoHelper()
@@ -104,8 +123,7 @@
 					status <- response.StatusCode
 				}
 			}()
-			_, err := stopped.Write([]byte("begin"))
-			Expect(err).NotTo(HaveOccurred())
+			go trickle(stopped)
 			Eventually(taken).Should(BeClosed())
 			expectGranted(func(other *reqmem.Request) error {
 				return other.TakeBody("w2", bodyLength, time.Now().Add(5*time.Second))
@@ -145,6 +163,27 @@
 	)
 })
 
+// Guards against callers that read a little of each part of a stream and so never count as stalled.
+var _ = It("a request is ended if its caller reads little of each part of the response", func() {
+	b := newBudget()
+	response := slowResponse{httptest.NewRecorder()}
+	r := newRequest(b, response)
+	Expect(r.TakeBody("w1", bodyLength, time.Now().Add(time.Second))).To(Succeed())
+	Expect(r.EndBody()).To(BeTrue())
+	go func() {
+		defer r.Close()
+		for {
+			if _, err := r.Writer(response).Write([]byte("part")); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	expectGranted(func(other *reqmem.Request) error {
+		return other.TakeBody("w2", bodyLength, time.Now().Add(5*time.Second))
+	}, b)
+})
+
 var _ = Describe("a request that runs", func() {
 	// Guards against requests that are ended although their callers wait for them.
 	It("keeps its memory", func() {
