Charge all retries of a home to the retry budget of their workspace

Cause: only statements after a busy reply were charged. Reads whose reply was lost, the setup of connections and commits after a busy reply were sent again until their time limit. A commit also did not notice that its VM had been suspended, since its deadline does not include that time.

Change: attempts (engine/endpoint/retry.go) decides on each retry of a request: its time limit including suspensions, the budget of a cold endpoint, then the retry budget. The steps of transactions add to the budget, too. The delays between the attempts of a commit double from 10 ms to 80 ms: the 3 retries of a new process then cover 70 ms and the 10 of a full budget 630 ms. The metric endpoint.retriesRefused counts the retries without budget.

What callers notice: nothing while at most one statement in 12 fails. Above that, a read whose reply is lost is resent by its entry VM, and a commit at an endpoint that stays busy is refused as not run before its time limit.

--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -69,10 +69,9 @@
 	limitsLowered     metrics.Counter
 	limitsRaised      metrics.Counter
 	busyReplies       metrics.Counter
-	// ejections counts how often an endpoint was ejected, and busyRetries the statements that were
-	// sent again after a busy reply.
-	ejections   metrics.Counter
-	busyRetries metrics.Counter
+	// ejections counts how often an endpoint was ejected, busyRetries the statements that were sent
+	// again after a busy reply, and retriesRefused the retries for which a workspace had no budget.
+	ejections, busyRetries, retriesRefused metrics.Counter
 	// coldEndpoints is the number of endpoints whose requests are limited after their start.
 	coldEndpoints metrics.Counter
 	// coldRequests counts the requests sent to cold endpoints, coldWaits the statements that had
@@ -105,6 +104,7 @@
 		busyReplies:       metrics.GetOrRegisterCounter("endpoint.capacity.busyReplies", config.Registry),
 		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
 		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
+		retriesRefused:    metrics.GetOrRegisterCounter("endpoint.retriesRefused", config.Registry),
 		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
 		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
 		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
@@ -211,15 +211,12 @@
 	if refused := client.admitRead(request); refused != nil {
 		return refusedResult(refused)
 	}
-	h.countRequest(request.Workspace)
-	// The deadline does not include the time for which this VM was suspended.
-	endBoot := h.config.Timer.SinceBoot() + request.Timeout
+	a := h.newAttempts(client, request, deadline)
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
 		for {
 			var retry bool
-			result, retry = h.tryRunSingle(ctx, client, request, deadline)
-			if !retry || h.config.Timer.SinceBoot() >= endBoot || !client.reserveAgain(request, requestCount(request)) {
+			if result, retry = h.tryRunSingle(ctx, a); !retry {
 				return measuresServiceTime(result)
 			}
 		}
@@ -231,10 +228,10 @@
 	return result
 }
 
-// tryRunSingle runs the statement once. It returns true if the statement may be
-// retried.
-func (h *Home) tryRunSingle(ctx context.Context, client *endpointClient, request *peer.RunRequest, deadline time.Time) (*peer.RunResponse, bool) {
-	c, name, _, err := h.acquireSetUp(ctx, client, request, deadline)
+// tryRunSingle runs the statement once. It returns true if the statement is to be sent again.
+func (h *Home) tryRunSingle(ctx context.Context, a *attempts) (*peer.RunResponse, bool) {
+	client, request := a.client, a.request
+	c, name, _, err := h.acquireSetUp(ctx, a)
 	if err != nil {
 		return errorResult(err), false
 	}
@@ -242,7 +239,7 @@
 	if request.Fenced {
 		commands = []Command{Begin{}, commands[0], Rollback{}}
 	}
-	timeout := deadline.Sub(h.config.Timer.Now())
+	timeout := a.deadline.Sub(h.config.Timer.Now())
 	if !request.Write {
 		// Leave time for a second attempt if the reply to the read is lost.
 		timeout /= 2
@@ -253,12 +250,12 @@
 	if err != nil {
 		client.put(c, false)
 		client.recordNoResponse()
-		return noReplyResult(request, err), !request.Write && deadline.Sub(h.config.Timer.Now()) > minRetryTimeout && ctx.Err() == nil
+		return noReplyResult(request, err), !request.Write && a.mayRetry(ctx, requestCount(request))
 	}
 	client.recordResponse()
 	if !request.Fenced {
 		client.put(c, true)
-		return resultFromReply(replies[0], request.Write), h.retriesBusy(ctx, request, replies[0].Err, deadline)
+		return resultFromReply(replies[0], request.Write), a.mayRetryBusy(ctx, replies[0].Err)
 	}
 	if refused := replies[0].Err; refused != nil {
 		// The read ran outside of a transaction, so its reply proves nothing.
@@ -266,37 +263,9 @@
 		return notRunResult(refused), false
 	}
 	client.put(c, true)
-	return resultFromReply(replies[1], true), h.retriesBusy(ctx, request, replies[1].Err, deadline)
+	return resultFromReply(replies[1], true), a.mayRetryBusy(ctx, replies[1].Err)
 }
 
-// countRequest adds a statement to the retry budget of its workspace.
-func (h *Home) countRequest(workspace string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.retryBudgets.CountRequest(workspace)
-}
-
-// retriesBusy reports whether a statement is sent again because the endpoint was busy, which proves
-// that it has not run. A read that can run at another endpoint goes there instead. It waits for
-// busyRetryDelay before it returns true.
-func (h *Home) retriesBusy(ctx context.Context, request *peer.RunRequest, reply *ReplyError, deadline time.Time) bool {
-	if reply == nil || reply.Code != Busy || request.Alternatives || ctx.Err() != nil ||
-		deadline.Sub(h.config.Timer.Now()) < minRetryTimeout {
-		return false
-	}
-	h.mu.Lock()
-	allowed := h.retryBudgets.TakeRetry(request.Workspace)
-	h.mu.Unlock()
-	if allowed {
-		h.config.Metrics.busyRetries.Inc(1)
-		h.waitBusyRetry()
-	}
-	return allowed
-}
-
-// minRetryTimeout is the least remaining time with which a request is retried.
-const minRetryTimeout = 50 * time.Millisecond
-
 // RollBackTransaction rolls back a transaction, once its running step has ended. It is
 // called when the VM that serves the transaction's caller has disconnected.
 func (h *Home) RollBackTransaction(key peer.TransactionKey) {
--- a/engine/endpoint/setup.go
+++ b/engine/endpoint/setup.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"time"
 
 	"amaranthdock.dev/decision/refusal"
-	"amaranthdock.dev/engine/peer"
 )
 
 // maxSetupAttempts is the number of connections on which the setup of one statement is tried. An
@@ -17,7 +15,8 @@
 // of another session. Further commands are sent together with the setup; their replies are
 // returned. The function also returns the name of the prepared statement on the connection.
 // Its errors prove that the statement has not run.
-func (h *Home) acquireSetUp(ctx context.Context, client *endpointClient, request *peer.RunRequest, deadline time.Time, further ...Command) (*pooledConnection, string, []Reply, error) {
+func (h *Home) acquireSetUp(ctx context.Context, a *attempts, further ...Command) (*pooledConnection, string, []Reply, error) {
+	client, request, deadline := a.client, a.request, a.deadline
 	for attempt := 1; ; attempt++ {
 		c, err := client.acquireConnection(ctx, request, deadline)
 		if err != nil {
@@ -56,8 +55,7 @@
 		client.put(c, false)
 		h.config.Log.Info("Could not set up a connection for a statement.", "request", request.ID, "endpoint", client.target.Key.ID,
 			"attempt", attempt, "problem", refused.Message)
-		if attempt == maxSetupAttempts || ctx.Err() != nil || deadline.Sub(h.config.Timer.Now()) < minRetryTimeout ||
-			!client.reserveAgain(request, countRequests(further)) {
+		if attempt == maxSetupAttempts || !a.mayRetry(ctx, countRequests(further)) {
 			return nil, "", nil, refused
 		}
 	}
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -39,6 +39,7 @@
 	if refused := client.admitRead(request); refused != nil {
 		return refusedResult(refused)
 	}
+	a := h.newAttempts(client, request, deadline)
 	if err := client.pin(ctx, request, deadline); err != nil {
 		return errorResult(err)
 	}
@@ -53,7 +54,7 @@
 	defer t.mu.Unlock()
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
-		result = h.openTransaction(ctx, t, request, deadline)
+		result = h.openTransaction(ctx, t, a)
 		return measuresServiceTime(result)
 	})
 	if err != nil {
@@ -79,8 +80,9 @@
 // sends the statement only after a successful reply to the begin. If both were sent
 // together and the endpoint refused the begin, because it is not the primary or has not
 // reached the required position, the statement would run outside of a transaction.
-func (h *Home) openTransaction(ctx context.Context, t *transaction, request *peer.RunRequest, deadline time.Time) *peer.RunResponse {
-	c, name, replies, err := h.acquireSetUp(ctx, t.client, request, deadline, Begin{
+func (h *Home) openTransaction(ctx context.Context, t *transaction, a *attempts) *peer.RunResponse {
+	request := a.request
+	c, name, replies, err := h.acquireSetUp(ctx, a, Begin{
 		ReadOnly: request.ReadOnly,
 		After:    request.After,
 	})
@@ -94,7 +96,7 @@
 	if request.Text == "" {
 		return &peer.RunResponse{Position: replies[0].Position}
 	}
-	return h.runStep(t, request, statementCommand(request, name), deadline)
+	return h.runStep(t, request, statementCommand(request, name), a.deadline)
 }
 
 // runNext runs a statement, or the commit, in the session's transaction.
@@ -105,6 +107,7 @@
 	if !ok {
 		return refusedResult(h.closedTransactionRefusal(request))
 	}
+	a := h.newAttempts(t.client, request, deadline)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ended {
@@ -115,7 +118,7 @@
 	var result *peer.RunResponse
 	err := t.client.runInSlot(ctx, request, deadline, func() bool {
 		if request.Step == peer.StepCommit {
-			result = h.commit(t, request, deadline)
+			result = h.commit(ctx, t, a)
 			return measuresServiceTime(result)
 		}
 		if result = refusedStep(t.client, request); result != nil {
@@ -191,15 +194,15 @@
 
 // commit sends the caller's commit. It retries when the endpoint is busy, because the
 // transaction is then still open.
-func (h *Home) commit(t *transaction, request *peer.RunRequest, deadline time.Time) *peer.RunResponse {
-	for {
-		if err := t.client.refusePlace(request); err != nil {
+func (h *Home) commit(ctx context.Context, t *transaction, a *attempts) *peer.RunResponse {
+	for sent := 1; ; sent++ {
+		if err := t.client.refusePlace(a.request); err != nil {
 			t.ended = true
 			return errorResult(err)
 		}
-		timeout := deadline.Sub(h.config.Timer.Now())
-		sample := t.client.beginSample(request, timeout)
-		replies, err := t.connection.Run(timeout, []Command{Commit{ID: request.ID}})
+		timeout := a.deadline.Sub(h.config.Timer.Now())
+		sample := t.client.beginSample(a.request, timeout)
+		replies, err := t.connection.Run(timeout, []Command{Commit{ID: a.request.ID}})
 		sample.end(replies, err)
 		if err != nil {
 			t.ended = true
@@ -208,23 +211,13 @@
 		}
 		t.client.recordResponse()
 		reply := replies[0]
-		if reply.Err == nil || reply.Err.Code != Busy || reply.State != statement.InTransaction ||
-			deadline.Sub(h.config.Timer.Now()) < minRetryTimeout || !t.client.awaitResend(request, deadline) {
+		if reply.Err == nil || reply.Err.Code != Busy || reply.State != statement.InTransaction || !a.mayRetryCommit(ctx, sent) {
 			t.ended = reply.State != statement.Idle
 			return resultFromReply(reply, t.hasWrites)
 		}
-		h.waitBusyRetry()
 	}
 }
 
-// busyRetryDelay is the time before the retry at an endpoint without a free slot, about
-// the duration of a short statement.
-const busyRetryDelay = 10 * time.Millisecond
-
-func (h *Home) waitBusyRetry() {
-	<-h.config.Timer.After(busyRetryDelay).C()
-}
-
 // rollBack rolls the session's transaction back if it is open.
 func (h *Home) rollBack(key peer.TransactionKey) *peer.RunResponse {
 	h.mu.Lock()
