Charge reads whose response was lost to the retry budget at the entry VM

Cause: the entry VM sent such a read to the next home or endpoint as often as there were any, without a charge. If the further attempts did not run, the read was refused as not run and its rate limit token was returned, although the first attempt may have run.

Change: mayRetryLostRead charges each of these retries; without budget the read ends with an unknown outcome. The same outcome replaces a later refusal as not run. The metric statements.retriesRefused counts the retries without budget.

What callers notice: nothing for single losses.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -44,9 +44,12 @@
 	excluded map[string]bool
 	// primaryOnly is set once no replica is left that could serve the read.
 	primaryOnly bool
-	// failure is the endpoint's error for a read that was answered with a retry; nil if there was none.
-	failure     *refusal.Error
-	lastRefusal *refusal.Error
+	// failure is the refusal of the latest attempt that may have run and was followed by a retry; nil
+	// if there was none.
+	failure *refusal.Error
+	// failedReadRetried is set once the read was sent again after an error of the endpoint.
+	failedReadRetried bool
+	lastRefusal       *refusal.Error
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
@@ -60,8 +63,8 @@
 	}
 }
 
-// run returns the result of the statement. If an endpoint ran a read and failed it, and the retry did
-// not run, the result is that failure: a refusal as not run would be wrong.
+// run returns the result of the statement. If an endpoint may have run a read, and the retry did not
+// run, the result is the first attempt's refusal: a refusal as not run would be wrong.
 func (d *dispatch) run(ctx context.Context) *peer.RunResponse {
 	result := d.runAttempts(ctx)
 	if d.failure != nil && result.Refused != nil && result.Refused.Outcome == refusal.NotRun {
@@ -267,7 +270,7 @@
 	case refusal.NotReady:
 		return !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
-		return d.request.Write || d.request.Step == peer.StepFirst
+		return d.request.Write || d.request.Step == peer.StepFirst || !d.mayRetryLostRead(ctx, result.Refused)
 	default:
 		return true
 	}
@@ -317,6 +320,10 @@
 			// The statement may have run, so it must not be repeated in another transaction.
 			return &peer.RunResponse{Refused: lostStepRefusal(d.request, err)}
 		case err != nil:
+			lost := refusal.NewUnknown(refusal.DeadlineExceeded, "the endpoint's home VM did not respond to the read")
+			if !d.mayRetryLostRead(ctx, lost) {
+				return &peer.RunResponse{Refused: lost}
+			}
 			lastResult = &peer.RunResponse{Refused: refusal.NewNotRun(refusal.Unreachable, "the endpoint's home VM did not respond")}
 			continue
 		case result.Refused != nil && result.Refused.Outcome == refusal.NotRun &&
--- a/engine/caller/retry.go
+++ b/engine/caller/retry.go
@@ -18,7 +18,11 @@
 func (s *SessionManager) takeRetry(workspace string) bool {
 	s.retriesMu.Lock()
 	defer s.retriesMu.Unlock()
-	return s.retryBudgets.TakeRetry(workspace)
+	if s.retryBudgets.TakeRetry(workspace) {
+		return true
+	}
+	s.retriesRefused.Inc(1)
+	return false
 }
 
 // takeOverloadRetry reports whether a read that a full endpoint refused may be sent to another one.
@@ -34,9 +38,10 @@
 // workspace, because endpoints count what they run.
 func (d *dispatch) mayRetryFailedRead(ctx context.Context, refused *refusal.Error) bool {
 	isRead := d.request.Step == peer.StepSingle && !d.request.Write
-	if !isRead || d.failure != nil || d.remaining() < minSendTimeout {
+	if !isRead || d.failedReadRetried || d.remaining() < minSendTimeout {
 		return false
 	}
+	d.failedReadRetried = true
 	d.failure = refused
 	m := d.session.manager
 	if !m.takeRetry(d.auth.workspace) || m.admit(ctx, d.auth) != nil {
@@ -45,3 +50,16 @@
 	m.failedReadRetries.Inc(1)
 	return true
 }
+
+// mayRetryLostRead reports whether a read without a response is sent once more. If it may have run,
+// the retry is charged to the budget of its workspace.
+func (d *dispatch) mayRetryLostRead(ctx context.Context, refused *refusal.Error) bool {
+	if refused.Outcome == refusal.NotRun {
+		return true
+	}
+	if d.remaining() < minSendTimeout || ctx.Err() != nil || !d.session.manager.takeRetry(d.auth.workspace) {
+		return false
+	}
+	d.failure = refused
+	return true
+}
--- a/engine/caller/retry_test.go
+++ b/engine/caller/retry_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/statement"
 )
@@ -98,6 +99,75 @@
 	})
 })
 
+var _ = Describe("a read whose response is lost", func() {
+	var f *fixture
+	lost := refusal.NewUnknown(refusal.DeadlineExceeded, "the endpoint did not respond to the read")
+	homeLost := func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+		if r.Step == peer.StepPosition {
+			return nil, nil
+		}
+		return nil, peer.ErrConnectionLost
+	}
+
+	BeforeEach(func() {
+		f = newFixture().start()
+		f.acceptSample(90)
+		f.view.AcceptVMs(&catalog.VMSnapshot{
+			Revision: 2,
+			ByName: map[string]catalog.VM{
+				"self": f.view.Self(),
+				"vm2": {
+					Name:       "vm2",
+					DataCentre: "a1",
+					Region:     "a",
+				},
+				"vm3": {
+					Name:       "vm3",
+					DataCentre: "a1",
+					Region:     "a",
+				},
+			},
+		}, "test")
+	})
+
+	// Guards against reads that are sent to all endpoints, or through all homes, while the
+	// responses of many of them are lost.
+	DescribeTable("is sent again only while its workspace has retries",
+		func(respond func(string, *peer.RunRequest) (*peer.RunResponse, error)) {
+			f.fleet.respond = respond
+			const reads = 10
+			for range reads {
+				response := do(f.open("bounded"), statement.Read{}, "READ a")
+				expectRefused(response, refusal.Unknown, refusal.DeadlineExceeded, statement.Idle)
+			}
+			Expect(len(f.fleet.steps())).To(And(BeNumerically(">", reads), BeNumerically("<=", reads+3)))
+		},
+		Entry("by the endpoints", refuseAt(lost, "r1", "r2", "p")),
+		Entry("by the homes", func(vm string, r *peer.RunRequest) (*peer.RunResponse, error) {
+			if vm == "self" {
+				return refuseAt(lost, "r1", "r2", "p")(vm, r)
+			}
+			return homeLost(vm, r)
+		}),
+	)
+
+	It("is not refused as not run", func() {
+		// Guards against a read whose rate limit token is returned although an endpoint ran it.
+		f.fleet.respond = func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+			switch {
+			case r.Step == peer.StepPosition:
+				return nil, nil
+			case len(f.fleet.steps()) == 1:
+				return &peer.RunResponse{Refused: lost}, nil
+			default:
+				return &peer.RunResponse{Refused: refusal.NewNotRun(refusal.Overloaded, "full")}, nil
+			}
+		}
+		expectRefused(do(f.open("bounded"), statement.Read{}, "READ a"), refusal.Unknown, refusal.DeadlineExceeded, statement.Idle)
+		Expect(f.fleet.refunds).To(BeZero())
+	})
+})
+
 var _ = Describe("a read without a recent position", func() {
 	It("pauses between its attempts at a primary that refuses it", func() {
 		// Guards against thousands of messages for a single read while the home is not reachable.
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -80,6 +80,8 @@
 	stopped atomic.Bool
 	// failedReadRetries counts the reads that were sent again after an error of the endpoint.
 	failedReadRetries metrics.Counter
+	// retriesRefused counts the retries for which a workspace had no budget.
+	retriesRefused metrics.Counter
 
 	retriesMu    sync.Mutex
 	retryBudgets *retries.Budgets
@@ -91,6 +93,7 @@
 		config:            config,
 		statementMetrics:  newStatementMetrics(config.Registry),
 		failedReadRetries: metrics.GetOrRegisterCounter("statements.failedReadRetries", config.Registry),
+		retriesRefused:    metrics.GetOrRegisterCounter("statements.retriesRefused", config.Registry),
 		retryBudgets:      retries.NewBudgets(),
 	}
 }
