Count no missing responses that a home has caused itself

Cause: each exchange that ended with an error counted as a missing response of the endpoint: for the outlier detector, for the learned limits and for the reports of unresponsive endpoints. A home that was suspended, stopped beyond a time limit, or closed its connections at its own end ejected and reported healthy endpoints.

What callers notice: nothing, except that reads don't avoid a healthy endpoint after a suspension.

--- a/engine/endpoint/capacity.go
+++ b/engine/endpoint/capacity.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"errors"
 	"time"
 
 	"amaranthdock.dev/decision/capacity"
@@ -104,7 +105,7 @@
 // connection or a failure is not a service time.
 func sampleOutcome(replies []Reply, err error, timedOut bool) capacity.Outcome {
 	if err != nil {
-		if timedOut {
+		if timedOut && !errors.Is(err, errEndedHere) {
 			return capacity.NoResponse
 		}
 		return capacity.Ignored
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -332,8 +333,11 @@
 }
 
 // recordNoResponse records that a reply is missing, and logs and reports the endpoint
-// unless that was done a short time ago.
-func (e *endpointClient) recordNoResponse() {
+// unless that was done a short time ago or this VM ended the wait.
+func (e *endpointClient) recordNoResponse(err error) {
+	if errors.Is(err, errEndedHere) {
+		return
+	}
 	e.mu.Lock()
 	now := e.config.Timer.Now()
 	logDue := !e.unresponsive && now.Sub(e.noResponseLoggedAt) >= noResponseLogInterval
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -249,7 +249,7 @@
 	sample.end(replies, err)
 	if err != nil {
 		client.put(c, false)
-		client.recordNoResponse()
+		client.recordNoResponse(err)
 		return noReplyResult(request, err), !request.Write && a.mayRetry(ctx, requestCount(request))
 	}
 	client.recordResponse()
--- a/engine/endpoint/outlier.go
+++ b/engine/endpoint/outlier.go
@@ -48,6 +48,8 @@
 // outcome classifies the reply to a statement; false if it says nothing about the endpoint.
 func (e *endpointClient) outcome(timeout time.Duration, reply Reply, err error) (outlier.Outcome, bool) {
 	switch {
+	case errors.Is(err, errEndedHere):
+		return 0, false
 	case err != nil:
 		return outlier.NoResponse, timeout >= minEvidenceTimeout || !errors.Is(err, os.ErrDeadlineExceeded)
 	case reply.Err == nil:
--- a/engine/endpoint/outlier_test.go
+++ b/engine/endpoint/outlier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -109,3 +110,60 @@
 		Expect(len(fake.commands())).To(BeNumerically("<", 30))
 	})
 })
+
+var _ = Describe("a wait for an endpoint that its home ends itself", func() {
+	ctx := context.Background()
+	const statements = 5
+	var (
+		fake  *fakeEndpoint
+		home  *endpoint.Home
+		clock *timer.Manual
+		held  chan struct{}
+	)
+
+	// runHeld runs statements that get no reply until end is called, and then fail. It reports
+	// whether the endpoint is ejected afterwards.
+	runHeld := func(end func()) bool {
+		var last *peer.RunResponse
+		for i := range statements {
+			result := make(chan *peer.RunResponse, 1)
+			go func() {
+				result <- home.Run(ctx, request(peer.StepSingle, "WRITE a b", func(r *peer.RunRequest) { r.Workspace = fmt.Sprintf("ws%d", i) }))
+			}()
+			sent := func() int { return strings.Count(strings.Join(fake.commands(), " "), "WRITE") }
+			Eventually(sent).Should(Equal(i + 1))
+			end()
+			held <- struct{}{}
+			Eventually(result).Should(Receive(&last))
+			expectRefused(last, refusal.Unknown, refusal.OutcomeNotKnown)
+		}
+		return last.Report.Ejected
+	}
+
+	BeforeEach(func() {
+		fake = &fakeEndpoint{}
+		clock = timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home = newHomeWithClock(fake, clock)
+		held = make(chan struct{})
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) {
+			<-held
+			return endpoint.Reply{}, errConnectionLost
+		}
+	})
+
+	// Guards against the ejection of healthy endpoints, and against reports that they do not
+	// respond, after a suspension or at the end of the VM.
+	DescribeTable("says nothing about the endpoint", func(end func()) {
+		Expect(runHeld(end)).To(BeFalse())
+		Expect(fake.unresponsiveReports).To(BeZero())
+	},
+		Entry("after a suspension", func() { clock.Suspend(300 * time.Millisecond) }),
+		Entry("after a stop beyond the time limit", func() { clock.Advance(520 * time.Millisecond) }),
+		Entry("by closing its connections", func() { home.EndStatements() }),
+	)
+
+	It("is told from a connection that the endpoint ended", func() {
+		Expect(runHeld(func() {})).To(BeTrue())
+		Expect(fake.unresponsiveReports).NotTo(BeZero())
+	})
+})
--- a/engine/endpoint/pool.go
+++ b/engine/endpoint/pool.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"amaranthdock.dev/decision/refusal"
@@ -62,13 +63,17 @@
 	setupFailed bool
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
+	// closedHere is set before this VM closes the connection while it is in use.
+	closedHere atomic.Bool
 }
 
 // Run runs commands and records the transaction state after them, and whether a setup command
 // failed or the endpoint does not know a prepared statement.
 func (p *pooledConnection) Run(timeout time.Duration, commands []Command) ([]Reply, error) {
 	p.client.recordSend(p.request, commands)
+	wait := p.client.beginWait(timeout)
 	replies, err := p.Connection.Run(timeout, commands)
+	err = wait.attribute(err, p.closedHere.Load())
 	p.client.observeReplies(p.workspace, timeout, commands, replies, err)
 	p.state = statement.InFailedTransaction
 	if err == nil && len(replies) > 0 {
@@ -261,6 +266,7 @@
 func (e *endpointClient) dial(ctx context.Context, workspace string) (*pooledConnection, error) {
 	dialContext, cancel := timer.WithTimeout(ctx, e.config.Timer, dialTimeout)
 	defer cancel()
+	wait := e.beginWait(dialTimeout)
 	opened, err := e.config.Dialer.Dial(dialContext, e.target, workspace)
 	if err == nil {
 		e.recordResponse()
@@ -284,7 +290,7 @@
 	}
 	e.mu.Unlock()
 	if !responded {
-		e.recordNoResponse()
+		e.recordNoResponse(wait.attribute(err, ctx.Err() != nil))
 		return nil, refusal.NewNotRun(refusal.Unreachable, "could not connect to the endpoint: "+err.Error())
 	}
 	e.recordResponse()
@@ -349,6 +355,7 @@
 	inUse := slices.Collect(maps.Keys(e.inUse))
 	e.mu.Unlock()
 	for _, c := range inUse {
+		c.closedHere.Store(true)
 		c.Close()
 	}
 }
--- a/engine/endpoint/sample.go
+++ b/engine/endpoint/sample.go
@@ -42,7 +42,7 @@
 	replies, err := c.Run(request.Timeout, []Command{Begin{}, Rollback{}})
 	if err != nil {
 		client.put(c, false)
-		client.recordNoResponse()
+		client.recordNoResponse(err)
 		return noReplyResult(request, err)
 	}
 	client.recordResponse()
--- a/engine/endpoint/setup.go
+++ b/engine/endpoint/setup.go
@@ -39,7 +39,7 @@
 		var refused *refusal.Error
 		switch {
 		case err != nil:
-			client.recordNoResponse()
+			client.recordNoResponse(err)
 			refused = refusal.NewNotRun(refusal.Unreachable, "the endpoint did not respond before the statement was sent: "+err.Error())
 		case c.setupFailed:
 			client.recordResponse()
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -177,7 +177,7 @@
 	sample.end(replies, err)
 	if err != nil {
 		t.ended = true
-		t.client.recordNoResponse()
+		t.client.recordNoResponse(err)
 		return lostTransactionResult()
 	}
 	t.client.recordResponse()
@@ -206,7 +206,7 @@
 		sample.end(replies, err)
 		if err != nil {
 			t.ended = true
-			t.client.recordNoResponse()
+			t.client.recordNoResponse(err)
 			return refusedResult(refusal.NewUnknown(refusal.OutcomeNotKnown, "the endpoint did not respond to the commit"))
 		}
 		t.client.recordResponse()
