Count busy replies as faults only if no other home used the endpoint's slots

Cause: a busy reply counted as a fault when this home ran no more statements than the endpoint has slots. While VMs have different views of the fleet, a second home runs statements there as well, so that a healthy endpoint was ejected.

After four of them the home requests the endpoint's status on a connection that has just become free, at most each 250 ms and in the background. They count if the endpoint has no other connections than those of this home: another home keeps unused ones for 2 s, and a busy reply is covered for as long. Otherwise, or without a status, they are dropped (endpoint.rejectionsIgnored).

What callers notice: an endpoint that rejects statements without a reason is ejected one status request later; with connections of another home, or of a probe, it isn't ejected for that.

Result: the new test with a second home fails on the previous code (ejected); those for statements and transactions without one pass on both.

--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -79,6 +79,7 @@
 	// that was last reported.
 	detector        *outlier.Detector
 	failingReportAt time.Duration
+	rejections      rejections
 	slow            slowStart
 	urgency         urgencyState
 }
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -42,6 +42,8 @@
 	holdReads chan struct{}
 	// onDial is called when a connection was opened; may be nil.
 	onDial func()
+	// foreign is the number of connections of other homes that the status contains.
+	foreign int
 	// unreachable makes all attempts to connect fail.
 	unreachable bool
 	// unresponsiveReports counts the calls of Config.ReportUnresponsive.
@@ -138,6 +140,11 @@
 				Index: 70,
 			},
 		}
+		if _, ok := command.(endpoint.Status); ok {
+			c.fake.mu.Lock()
+			reply.Report = &endpoint.Report{Connections: c.fake.open + c.fake.foreign}
+			c.fake.mu.Unlock()
+		}
 		if respond != nil {
 			scripted, err := respond(command)
 			if err != nil {
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -72,6 +72,8 @@
 	// ejections counts how often an endpoint was ejected, busyRetries the statements that were sent
 	// again after a busy reply, and retriesRefused the retries for which a workspace had no budget.
 	ejections, busyRetries, retriesRefused metrics.Counter
+	// rejectionsIgnored counts the busy replies for which another home may be the reason.
+	rejectionsIgnored metrics.Counter
 	// coldEndpoints is the number of endpoints whose requests are limited after their start.
 	coldEndpoints metrics.Counter
 	// coldRequests counts the requests sent to cold endpoints, coldWaits the statements that had
@@ -105,6 +107,7 @@
 		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
 		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
 		retriesRefused:    metrics.GetOrRegisterCounter("endpoint.retriesRefused", config.Registry),
+		rejectionsIgnored: metrics.GetOrRegisterCounter("endpoint.rejectionsIgnored", config.Registry),
 		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
 		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
 		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
@@ -254,7 +257,7 @@
 	}
 	client.recordResponse()
 	if !request.Fenced {
-		client.put(c, true)
+		client.putBack(c, true)
 		return resultFromReply(replies[0], request.Write), a.mayRetryBusy(ctx, replies[0].Err)
 	}
 	if refused := replies[0].Err; refused != nil {
@@ -262,7 +265,7 @@
 		client.put(c, refused.Code == NotPrimary)
 		return notRunResult(refused), false
 	}
-	client.put(c, true)
+	client.putBack(c, true)
 	return resultFromReply(replies[1], true), a.mayRetryBusy(ctx, replies[1].Err)
 }
 
--- a/engine/endpoint/outlier.go
+++ b/engine/endpoint/outlier.go
@@ -30,7 +30,9 @@
 		if err == nil {
 			reply = replies[i]
 		}
-		if outcome, ok := e.outcome(timeout, reply, err); ok {
+		if err == nil && reply.Err != nil && reply.Err.Code == Busy {
+			e.recordRejection(workspace)
+		} else if outcome, ok := outcomeOf(timeout, reply, err); ok {
 			e.recordOutcome(workspace, outcome)
 		}
 	}
@@ -45,8 +47,9 @@
 	}
 }
 
-// outcome classifies the reply to a statement; false if it says nothing about the endpoint.
-func (e *endpointClient) outcome(timeout time.Duration, reply Reply, err error) (outlier.Outcome, bool) {
+// outcomeOf classifies the reply to a statement; false if it says nothing about the endpoint, or if
+// it is a busy reply, on which recordRejection decides.
+func outcomeOf(timeout time.Duration, reply Reply, err error) (outlier.Outcome, bool) {
 	switch {
 	case errors.Is(err, errEndedHere):
 		return 0, false
@@ -56,10 +59,6 @@
 		return outlier.Succeeded, true
 	case reply.Err.Code == ExecutionFailed:
 		return outlier.Failed, true
-	case reply.Err.Code == Busy:
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return outlier.Rejected, e.queue.Running() <= e.target.Slots
 	default:
 		return 0, false
 	}
--- a/engine/endpoint/outlier_test.go
+++ b/engine/endpoint/outlier_test.go
@@ -111,6 +111,61 @@
 	})
 })
 
+var _ = Describe("busy replies of an endpoint with free slots", func() {
+	var (
+		fake *fakeEndpoint
+		home *endpoint.Home
+	)
+
+	run := func(step peer.Step, text string) *peer.RunResponse {
+		return home.Run(context.Background(), request(step, text, func(r *peer.RunRequest) { r.Alternatives = true }))
+	}
+	single := func() *peer.RunResponse { return run(peer.StepSingle, "READ a") }
+	first := func() *peer.RunResponse { return run(peer.StepFirst, "READ a") }
+	isEjected := func(run func() *peer.RunResponse) func() bool {
+		return func() bool { return run().Report.Ejected }
+	}
+
+	BeforeEach(func() {
+		fake = &fakeEndpoint{}
+		home = newHome(fake)
+		fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
+			if _, ok := c.(endpoint.Forward); ok {
+				return scriptedRefusal(endpoint.Busy)
+			}
+			return endpoint.Reply{}, nil
+		}
+	})
+
+	DescribeTable("eject it if it has no connections of another home", func(run func() *peer.RunResponse) {
+		// Guards against an endpoint that rejects its statements and keeps getting reads.
+		Eventually(isEjected(run)).Should(BeTrue())
+	},
+		Entry("for statements", single),
+		Entry("for transactions", first),
+	)
+
+	It("do not eject it if another home has connections, which may use the slots", func() {
+		// Guards against the ejection of an endpoint whose slots two homes use, as during a change
+		// of its home.
+		fake.foreign = 1
+		Consistently(isEjected(single)).WithTimeout(600 * time.Millisecond).Should(BeFalse())
+		Expect(fake.commands()).To(ContainElement("status"))
+		Expect(fake.connections()).To(BeNumerically("<=", 2))
+	})
+
+	It("are followed by few status requests", func() {
+		// Guards against status requests that take the slots of statements.
+		fake.foreign = 1
+		began := time.Now()
+		for range 200 {
+			expectRefused(single(), refusal.NotRun, refusal.Overloaded)
+		}
+		statuses := strings.Count(strings.Join(fake.commands(), " "), "status")
+		Expect(statuses).To(BeNumerically("<=", 1+int(time.Since(began)/(250*time.Millisecond))))
+	})
+})
+
 var _ = Describe("a wait for an endpoint that its home ends itself", func() {
 	ctx := context.Background()
 	const statements = 5
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -64,7 +64,7 @@
 	result.ExpectedWait = client.expectedWait(request)
 	if result.Refused != nil || t.ended {
 		if t.connection != nil {
-			client.put(t.connection, !t.ended && client.rollBackOpen(t.connection))
+			client.putBack(t.connection, !t.ended && client.rollBackOpen(t.connection))
 		}
 		client.unpin()
 		result.Failed = false
@@ -270,7 +270,7 @@
 	if !owned {
 		return
 	}
-	t.client.put(t.connection, reusable)
+	t.client.putBack(t.connection, reusable)
 	t.client.unpin()
 }
 
