Readmit an ejected endpoint within a bounded time

Cause: an ejection ended only after three successful probes within the 2 s of the detector's window. With less than about one statement per second there never are as many, and an endpoint without any statement stayed ejected for good.

Change: an ejection ends when there was no failure for maxQuietTime (5 s) after its time, and a recovery ends after the same time at the latest, so that the endpoint is healthy within 10 s. Detector.Advance applies this without a statement; the home calls it with each request. An endpoint that fails its few probes stays ejected.

What callers notice: reads of quiet databases use the endpoint again.

--- a/decision/outlier/outlier.go
+++ b/decision/outlier/outlier.go
@@ -35,6 +35,11 @@
 	// doubles, from initialShare on.
 	recoveryStep = 500 * time.Millisecond
 	initialShare = 0.25
+	// maxQuietTime is the time without a failure after which an ejection ends, and the time after
+	// which a recovery ends, although too few statements arrived: below one per second there are never
+	// minProbes within the window. An endpoint without failures is thus healthy at the latest twice
+	// this time after its ejection. It is longer than maxEjection.
+	maxQuietTime = 5 * time.Second
 	// replacementShare is the share of failures above which replacing a primary is better for
 	// its callers than keeping it: a replacement takes about a second.
 	replacementShare = 0.25
@@ -91,6 +96,8 @@
 	stepAt       time.Duration
 	admitted     float64
 	failingSince time.Duration
+	// quietSince is the time of the last failure during an ejection, or of the start of a recovery.
+	quietSince time.Duration
 }
 
 // New returns the detector of an endpoint without known failures.
@@ -98,18 +105,19 @@
 	return &Detector{state: Healthy{}}
 }
 
-// State returns the current state.
+// State returns the state as of the last call of Record, Admit or Advance.
 func (d *Detector) State() State { return d.state }
 
 // Record records the outcome of a statement, and reports whether the state changed.
 func (d *Detector) Record(now time.Duration, workspace string, outcome Outcome) bool {
+	before := d.state
+	d.Advance(now)
 	d.samples = append(d.samples, sample{
 		at:        now,
 		workspace: workspace,
 		outcome:   outcome,
 	})
 	d.dropOld(now)
-	before := d.state
 	switch s := d.state.(type) {
 	case Healthy:
 		if d.isFailing(ejectionShare) {
@@ -118,10 +126,11 @@
 			d.ejection = 0
 		}
 	case Ejected:
+		if outcome != Succeeded {
+			d.quietSince = now
+		}
 		if now >= s.Until && d.successesInARow() >= minProbes {
-			d.samples = nil
-			d.stepAt = now
-			d.state = Recovering{Share: initialShare}
+			d.recover(now)
 		}
 	case Recovering:
 		switch {
@@ -143,8 +152,34 @@
 	return d.state != before
 }
 
+// Advance ends an ejection or a recovery in which too few statements arrived, and reports whether
+// the state changed.
+func (d *Detector) Advance(now time.Duration) bool {
+	before := d.state
+	switch s := d.state.(type) {
+	case Ejected:
+		if now-max(s.Until, d.quietSince) >= maxQuietTime {
+			d.recover(now)
+		}
+	case Recovering:
+		if now-d.quietSince >= maxQuietTime {
+			d.lastHealthy = now
+			d.state = Healthy{}
+		}
+	}
+	return d.state != before
+}
+
+func (d *Detector) recover(now time.Duration) {
+	d.samples = nil
+	d.stepAt = now
+	d.quietSince = now
+	d.state = Recovering{Share: initialShare}
+}
+
 // Admit reports whether a statement that may also run at another endpoint should run at this one.
 func (d *Detector) Admit(now time.Duration) bool {
+	d.Advance(now)
 	switch s := d.state.(type) {
 	case Ejected:
 		if now-d.lastProbe < probeInterval {
@@ -181,6 +216,7 @@
 	d.ejection = min(max(2*d.ejection, initialEjection), maxEjection)
 	d.lastProbe = now
 	d.admitted = 0
+	d.quietSince = now
 	d.state = Ejected{Until: now + d.ejection}
 }
 
--- a/decision/outlier/outlier_test.go
+++ b/decision/outlier/outlier_test.go
@@ -114,6 +114,41 @@
 		Expect(s.Until - now).To(BeNumerically(">", 1500*time.Millisecond))
 	})
 
+	// Guards against an endpoint that stays ejected for good because it gets too few statements
+	// for three probes within the window.
+	DescribeTable("that gets few statements is healthy about 10 s after its ejection", func(perSecond float64) {
+		now := replay(d, time.Second, time.Second, always(outlier.Failed))
+		s, ok := d.State().(outlier.Ejected)
+		Expect(ok).To(BeTrue())
+		end, next := max(now, s.Until)+10*time.Second+200*time.Millisecond, now
+		for ; now <= end; now += 100 * time.Millisecond {
+			d.Advance(now)
+			if perSecond > 0 && now >= next {
+				next += time.Duration(float64(time.Second) / perSecond)
+				if d.Admit(now) {
+					d.Record(now, "ws", outlier.Succeeded)
+				}
+			}
+		}
+		Expect(d.State()).To(Equal(outlier.Healthy{}))
+	},
+		Entry("1.4 per second", 1.4),
+		Entry("one in two seconds", 0.5),
+		Entry("one in eight seconds", 0.125),
+		Entry("none", 0.0),
+	)
+
+	It("that still fails its few statements is not readmitted", func() {
+		// Guards against reads that go to an endpoint at which each probe fails.
+		now := replay(d, time.Second, time.Second, always(outlier.Failed))
+		for range 20 {
+			now += 2 * time.Second
+			Expect(d.Admit(now)).To(BeTrue())
+			d.Record(now, "ws", outlier.Failed)
+			Expect(d.State()).To(BeAssignableToTypeOf(outlier.Ejected{}))
+		}
+	})
+
 	// Guards against a promotion for a disturbance that is over before the promotion is, and
 	// against a primary that keeps failing a third of its writes.
 	It("is reported for replacement only after it has failed for a while", func() {
--- a/engine/endpoint/outlier.go
+++ b/engine/endpoint/outlier.go
@@ -102,6 +102,7 @@
 	if !request.Alternatives {
 		return nil
 	}
+	e.advanceDetector()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.detector.Admit(e.config.Timer.SinceBoot()) {
@@ -112,12 +113,22 @@
 
 // isEjected reports whether reads should avoid the endpoint.
 func (e *endpointClient) isEjected() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, ejected := e.detector.State().(outlier.Ejected)
+	_, ejected := e.advanceDetector().(outlier.Ejected)
 	return ejected
 }
 
+// advanceDetector brings the detector's state up to date, logs a change and returns the state.
+func (e *endpointClient) advanceDetector() outlier.State {
+	e.mu.Lock()
+	changed := e.detector.Advance(e.config.Timer.SinceBoot())
+	state := e.detector.State()
+	e.mu.Unlock()
+	if changed {
+		e.logState(state)
+	}
+	return state
+}
+
 // ServesWell reports whether an endpoint of which this VM is the home has served statements
 // recently without being ejected.
 func (h *Home) ServesWell(target catalog.Endpoint) bool {
--- a/engine/endpoint/outlier_test.go
+++ b/engine/endpoint/outlier_test.go
@@ -54,6 +54,34 @@
 	})
 })
 
+var _ = Describe("an ejected endpoint that gets no statements", func() {
+	It("gets all reads again after a time", func() {
+		// Guards against an endpoint that stays ejected because too few probes arrive.
+		ctx := context.Background()
+		fake := &fakeEndpoint{}
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home := newHomeWithClock(fake, clock)
+		read := func(workspace string) *peer.RunResponse {
+			return home.Run(ctx, request(peer.StepSingle, "READ a", func(r *peer.RunRequest) {
+				r.Workspace = workspace
+				r.Alternatives = true
+			}))
+		}
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) { return scriptedRefusal(endpoint.ExecutionFailed) }
+		for i := range 5 {
+			read(fmt.Sprintf("ws%d", i))
+		}
+		expectRefused(read("ws"), refusal.NotRun, refusal.EndpointEjected)
+		fake.respond = nil
+		clock.Advance(7 * time.Second)
+		Expect(read("ws").Report.Ejected).To(BeFalse())
+		clock.Advance(7 * time.Second)
+		for range 10 {
+			expectServed(read("ws"))
+		}
+	})
+})
+
 var _ = Describe("a busy reply", func() {
 	ctx := context.Background()
 	var (
