Try the remaining endpoint after an ejected and an overloaded one

Cause: a read that an overloaded endpoint refused went to another one only if no endpoint had been left out before. An ejected endpoint, or one that was behind, counted, so that the next overloaded one ended the read although a third had room.

Change: mayRetryOverloaded sends the read on while an endpoint is left that was not asked yet. The first of these retries is free as before (charged with UrgencyAcrossWorkspaces); further ones take a retry out of the workspace's budget, because all endpoints of a database are full at the same time in a burst. An endpoint that has refused a read is not asked again after an overload. After an attempt that may have run, an overload ends the read as before.

What callers notice: fewer reads refused as overloaded.

Before, 20 reads at three full endpoints asked 40 times; now 44.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -49,7 +49,9 @@
 	failure *refusal.Error
 	// failedReadRetried is set once the read was sent again after an error of the endpoint.
 	failedReadRetried bool
-	lastRefusal       *refusal.Error
+	// overloads is the number of full endpoints after which the read was sent to another one.
+	overloads   int
+	lastRefusal *refusal.Error
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
@@ -91,6 +93,9 @@
 		// A read for which no replica can be chosen goes to the primary again and again, so that it has to
 		// pause there, too.
 		askedBefore := d.excluded[target.Key.ID]
+		if askedBefore && isOverload(d.lastRefusal) {
+			return &peer.RunResponse{Refused: d.lastRefusal}
+		}
 		result, final := d.tryEndpoint(ctx, target)
 		if final {
 			return result
@@ -264,9 +269,7 @@
 		// The home learned of the evacuation first.
 		return !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		// A budget refusal of an endpoint that was asked before means that no other one can be chosen.
-		maySendElsewhere := len(d.excluded) == 0 || (isBudgetRefusal(result) && !d.excluded[target.Key.ID])
-		return d.needsPrimary() || !maySendElsewhere || !d.takeOverloadRetry()
+		return d.needsPrimary() || !d.mayRetryOverloaded(target, result)
 	case refusal.NotReady:
 		return !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
--- a/engine/caller/retry.go
+++ b/engine/caller/retry.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"amaranthdock.dev/decision/refusal"
+	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/peer"
 )
 
@@ -25,12 +26,51 @@
 	return false
 }
 
-// takeOverloadRetry reports whether a read that a full endpoint refused may be sent to another one.
-// With urgency across workspaces it takes the retry out of the workspace's budget: otherwise each
-// read of a burst is sent twice while all endpoints of a database are full.
-func (d *dispatch) takeOverloadRetry() bool {
+// mayRetryOverloaded reports whether a read that a full endpoint refused is sent to another one that
+// has not been asked yet. The first such retry is free, and so are those after the refusals of cold
+// endpoints. The others take a retry out of the workspace's budget: otherwise each read of a burst
+// is sent to all endpoints of a database while all are full. With urgency across workspaces all
+// retries do. A read that was sent again after an attempt that may have run is not sent a third time.
+func (d *dispatch) mayRetryOverloaded(target catalog.Endpoint, result *peer.RunResponse) bool {
+	if d.failure != nil || d.remaining() < minSendTimeout || !d.hasUnaskedEndpoint(target) {
+		return false
+	}
 	manager := d.session.manager
-	return !manager.config.UrgencyAcrossWorkspaces || manager.takeRetry(d.auth.workspace)
+	free := !manager.config.UrgencyAcrossWorkspaces && (d.overloads == 0 || isBudgetRefusal(result))
+	if !free && !manager.takeRetry(d.auth.workspace) {
+		return false
+	}
+	d.overloads++
+	return true
+}
+
+// hasUnaskedEndpoint reports whether an endpoint besides the target can run the read and was not
+// asked yet.
+func (d *dispatch) hasUnaskedEndpoint(target catalog.Endpoint) bool {
+	v := d.session.manager.config.View
+	name := d.auth.database.Name
+	if _, ok := v.RequiredPosition(name, d.auth.route.MaxStaleness); ok {
+		for _, c := range d.candidates() {
+			if c.ID != target.Key.ID {
+				return true
+			}
+		}
+	}
+	primary, ok := v.Primary(name)
+	return ok && primary.Key != target.Key && !d.excluded[primary.Key.ID] && d.mayUsePrimary(primary)
+}
+
+// isOverload reports whether an endpoint refused a statement because it was full.
+func isOverload(refused *refusal.Error) bool {
+	if refused == nil {
+		return false
+	}
+	switch refused.Reason {
+	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
+		return true
+	default:
+		return false
+	}
 }
 
 // mayRetryFailedRead reports whether a single read that the endpoint ran and failed is sent once
--- a/engine/caller/retry_test.go
+++ b/engine/caller/retry_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -99,6 +100,68 @@
 	})
 })
 
+var _ = Describe("a read at endpoints of which some refuse it", func() {
+	var f *fixture
+	refusals := map[string]*refusal.Error{
+		"ejected": refusal.NewNotRun(refusal.EndpointEjected, "ejected"),
+		"full":    refusal.NewNotRun(refusal.Overloaded, "full"),
+		"behind":  refusal.NewNotRun(refusal.ReplicaBehind, "behind"),
+	}
+	// respond refuses reads at the endpoints; an ejected one serves a read without alternatives.
+	respond := func(reasons map[string]string) func(string, *peer.RunRequest) (*peer.RunResponse, error) {
+		return func(_ string, r *peer.RunRequest) (*peer.RunResponse, error) {
+			refused := refusals[reasons[r.Endpoint]]
+			if refused == nil || r.Step == peer.StepPosition || (refused.Reason == refusal.EndpointEjected && !r.Alternatives) {
+				return nil, nil
+			}
+			copied := *refused
+			return &peer.RunResponse{Refused: &copied}, nil
+		}
+	}
+	asked := func(from int) []string {
+		var endpoints []string
+		for _, step := range f.fleet.steps()[from:] {
+			endpoints = append(endpoints, strings.Fields(step)[0])
+		}
+		return endpoints
+	}
+
+	BeforeEach(func() {
+		f = newFixture().start()
+		f.acceptSample(90)
+	})
+
+	// Guards against a read that is refused as overloaded although an endpoint has room.
+	DescribeTable("is served by the one that has room", func(reasons map[string]string) {
+		f.fleet.respond = respond(reasons)
+		for range 20 {
+			before := len(f.fleet.steps())
+			expectServed(do(f.open("bounded"), statement.Read{}, "READ a"), statement.Idle)
+			Expect(len(asked(before))).To(BeNumerically("<=", 3))
+		}
+	},
+		Entry("after an ejected and a full one", map[string]string{"r1": "ejected", "r2": "full"}),
+		Entry("after a full one and an ejected primary", map[string]string{"r1": "full", "p": "ejected"}),
+		Entry("after one that is behind and a full one", map[string]string{"r1": "behind", "r2": "full"}),
+	)
+
+	It("is sent to each full endpoint at most once, and to a third one only within the retry budget", func() {
+		// Guards against reads that are sent to all endpoints while all are full.
+		f.fleet.respond = respond(map[string]string{"r1": "full", "r2": "full", "p": "full"})
+		const reads = 20
+		for range reads {
+			before := len(f.fleet.steps())
+			expectRefused(do(f.open("bounded"), statement.Read{}, "READ a"), refusal.NotRun, refusal.Overloaded, statement.Idle)
+			unique := map[string]bool{}
+			for _, id := range asked(before) {
+				Expect(unique).NotTo(HaveKey(id))
+				unique[id] = true
+			}
+		}
+		Expect(f.fleet.steps()).To(HaveLen(2*reads + 4))
+	})
+})
+
 var _ = Describe("a read whose response is lost", func() {
 	var f *fixture
 	lost := refusal.NewUnknown(refusal.DeadlineExceeded, "the endpoint did not respond to the read")
