Retry the first statement of a transaction after a busy reply

Cause: the home sent single statements and commits again after BUSY, but refused a transaction whose begin or first statement got that reply, although it proves that the statement has not run.

Change: openWithRetries rolls back what is open at the endpoint and opens the transaction once more, within the time limit (including suspensions) and the retry budget, and not if the calling VM has another endpoint for it.

--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -258,7 +258,7 @@
 	client.recordResponse()
 	if !request.Fenced {
 		client.putBack(c, true)
-		return resultFromReply(replies[0], request.Write), a.mayRetryBusy(ctx, replies[0].Err)
+		return resultFromReply(replies[0], request.Write), a.retriesBusy(ctx, replies[0].Err)
 	}
 	if refused := replies[0].Err; refused != nil {
 		// The read ran outside of a transaction, so its reply proves nothing.
@@ -266,7 +266,7 @@
 		return notRunResult(refused), false
 	}
 	client.putBack(c, true)
-	return resultFromReply(replies[1], true), a.mayRetryBusy(ctx, replies[1].Err)
+	return resultFromReply(replies[1], true), a.retriesBusy(ctx, replies[1].Err)
 }
 
 // RollBackTransaction rolls back a transaction, once its running step has ended. It is
--- a/engine/endpoint/retry.go
+++ b/engine/endpoint/retry.go
@@ -57,14 +57,16 @@
 	return a.timeLeft(ctx) && a.client.reserveAgain(a.request, requests) && a.charge()
 }
 
-// mayRetryBusy reports whether a statement is sent once more because the endpoint was busy, which
-// proves that it has not run. A read that can run at another endpoint goes there instead. It waits
-// for busyRetryDelay before it returns true.
-func (a *attempts) mayRetryBusy(ctx context.Context, reply *ReplyError) bool {
-	if reply == nil || reply.Code != Busy || a.request.Alternatives || !a.mayRetry(ctx, requestCount(a.request)) {
-		return false
-	}
-	return a.waitBusy(ctx, busyRetryDelay)
+// mayRetryBusy reports whether a statement may be sent once more because the endpoint was busy, which
+// proves that it has not run. A read that can run at another endpoint goes there instead.
+func (a *attempts) mayRetryBusy(ctx context.Context) bool {
+	return !a.request.Alternatives && a.mayRetry(ctx, requestCount(a.request))
+}
+
+// retriesBusy reports whether a statement is sent once more after a reply. It waits for
+// busyRetryDelay before it returns true.
+func (a *attempts) retriesBusy(ctx context.Context, reply *ReplyError) bool {
+	return reply != nil && reply.Code == Busy && a.mayRetryBusy(ctx) && a.waitBusy(ctx, busyRetryDelay)
 }
 
 // mayRetryCommit reports whether a commit is sent once more to a busy endpoint, after the given
--- a/engine/endpoint/retry_test.go
+++ b/engine/endpoint/retry_test.go
@@ -129,4 +129,51 @@
 		expectRefused(ran, refusal.NotRun, refusal.Overloaded)
 		Expect(sent("commit")).To(Equal(1))
 	})
+
+	Describe("of the first statement of a transaction", func() {
+		// busyTimes refuses the first commands of a kind as busy.
+		busyTimes := func(times int, matches func(endpoint.Command) bool) {
+			fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
+				if times > 0 && matches(c) {
+					times--
+					return scriptedRefusal(endpoint.Busy)
+				}
+				return endpoint.Reply{}, nil
+			}
+		}
+		isBegin := func(c endpoint.Command) bool { _, ok := c.(endpoint.Begin); return ok }
+		isStatement := func(c endpoint.Command) bool { _, ok := c.(endpoint.Forward); return ok }
+
+		DescribeTable("follow a busy reply", func(matches func(endpoint.Command) bool) {
+			// Guards against a transaction that is refused although a slot is free a moment later,
+			// and against a statement that runs outside of its transaction.
+			busyTimes(2, matches)
+			expectServed(home.Run(ctx, request(peer.StepFirst, "WRITE a b")))
+			expectServed(home.Run(ctx, request(peer.StepCommit, "COMMIT")))
+			Expect(sent("rollback")).To(Equal(2))
+			Expect(fake.commands()[len(fake.commands())-3:]).To(Equal([]string{"begin", "WRITE a b", "commit"}))
+			Expect(fake.connections()).To(Equal(1))
+		},
+			Entry("to the statement", isStatement),
+			Entry("to the begin", isBegin),
+		)
+
+		It("do not follow if the transaction can run at another endpoint", func() {
+			busyTimes(1, isStatement)
+			refused := home.Run(ctx, request(peer.StepFirst, "READ a", func(r *peer.RunRequest) { r.Alternatives = true }))
+			expectRefused(refused, refusal.NotRun, refusal.Overloaded)
+			Expect(sent("READ")).To(Equal(1))
+		})
+
+		It("are limited by the budget and leave no transaction open", func() {
+			// Guards against retries that keep an endpoint overloaded.
+			busyTimes(1000, isStatement)
+			for range 10 {
+				expectRefused(home.Run(ctx, request(peer.StepFirst, "WRITE a b")), refusal.NotRun, refusal.Overloaded)
+			}
+			Expect(sent("WRITE")).To(And(BeNumerically(">", 10), BeNumerically("<=", 14)))
+			Expect(sent("rollback")).To(Equal(sent("WRITE")))
+			Expect(home.OpenTransactions()).To(BeZero())
+		})
+	})
 })
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -54,7 +54,7 @@
 	defer t.mu.Unlock()
 	var result *peer.RunResponse
 	err = client.runInSlot(ctx, request, deadline, func() bool {
-		result = h.openTransaction(ctx, t, a)
+		result = h.openWithRetries(ctx, t, a)
 		return measuresServiceTime(result)
 	})
 	if err != nil {
@@ -76,6 +76,24 @@
 	return result
 }
 
+// openWithRetries opens a transaction like openTransaction, and once more after a busy reply to the
+// begin or the statement, which proves that the statement has not run. The transaction that the
+// endpoint may have open is rolled back before.
+func (h *Home) openWithRetries(ctx context.Context, t *transaction, a *attempts) *peer.RunResponse {
+	for {
+		result := h.openTransaction(ctx, t, a)
+		busy := t.connection != nil && !t.ended && result.Refused != nil && result.Refused.Reason == refusal.Overloaded
+		if !busy || !a.mayRetryBusy(ctx) {
+			return result
+		}
+		t.client.putBack(t.connection, t.client.rollBackOpen(t.connection))
+		t.connection = nil
+		if !a.waitBusy(ctx, busyRetryDelay) {
+			return result
+		}
+	}
+}
+
 // openTransaction begins a transaction at the endpoint and runs the first statement. It
 // sends the statement only after a successful reply to the begin. If both were sent
 // together and the endpoint refused the begin, because it is not the primary or has not
