Lock the retry budgets in one place

Cause: the home, the sessions and the own interface each wrapped decision/retries.Budgets with a lock of their own.

Change: Budgets locks itself and replaces the three wrappers. It still uses no clock, goroutine or random source; decision/routing uses a lock as well. No change of behaviour.

--- a/decision/retries/budgets.go
+++ b/decision/retries/budgets.go
@@ -1,8 +1,12 @@
 package retries
 
-// Budgets holds the retry budget of each subject. It is not safe for concurrent use. Only
-// subjects from the configuration should be passed, so that the map stays small.
+import "sync"
+
+// Budgets holds the retry budget of each subject. It is safe for concurrent use, since a home, the
+// sessions of a VM and the own interface each share one among their requests. Only subjects from
+// the configuration should be passed, so that the map stays small.
 type Budgets struct {
+	mu        sync.Mutex
 	bySubject map[string]*Budget
 }
 
@@ -13,14 +17,19 @@
 
 // CountRequest counts an admitted request of a subject.
 func (b *Budgets) CountRequest(subject string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.get(subject).CountRequest()
 }
 
 // TakeRetry takes one retry from the budget of a subject; false if the budget is used up.
 func (b *Budgets) TakeRetry(subject string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return b.get(subject).TakeRetry()
 }
 
+// get returns the budget of a subject. The lock must be held.
 func (b *Budgets) get(subject string) *Budget {
 	budget, ok := b.bySubject[subject]
 	if !ok {
--- a/decision/retries/retries_test.go
+++ b/decision/retries/retries_test.go
@@ -1,6 +1,9 @@
 package retries_test
 
 import (
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,6 +77,26 @@
 		Expect(retries.NewBudget().Decide(late)).To(Equal(retries.Stop{Cause: retries.DeadlineNear}))
 	})
 
+	It("is shared by the concurrent requests of a subject", func() {
+		// Guards against more retries than the budget allows, and against a crash of the process,
+		// when several requests use the budgets at the same time.
+		budgets := retries.NewBudgets()
+		var allowed atomic.Int64
+		var requests sync.WaitGroup
+		for range 100 {
+			requests.Go(func() {
+				for i := range 100 {
+					budgets.CountRequest(strconv.Itoa(i))
+					if budgets.TakeRetry("shared") {
+						allowed.Add(1)
+					}
+				}
+			})
+		}
+		requests.Wait()
+		Expect(allowed.Load()).To(Equal(int64(3)))
+	})
+
 	DescribeTable("doubles the delays with jitter",
 		// Guards against many callers that retry at the same time, and against delays
 		// that grow without a limit.
--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -55,7 +55,7 @@
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
-	s.manager.countRequest(auth.workspace)
+	s.manager.retryBudgets.CountRequest(auth.workspace)
 	return &dispatch{
 		session:  s,
 		auth:     auth,
--- a/engine/caller/retry.go
+++ b/engine/caller/retry.go
@@ -8,17 +8,8 @@
 	"amaranthdock.dev/engine/peer"
 )
 
-// countRequest adds an admitted statement to the retry budget of its workspace.
-func (s *SessionManager) countRequest(workspace string) {
-	s.retriesMu.Lock()
-	defer s.retriesMu.Unlock()
-	s.retryBudgets.CountRequest(workspace)
-}
-
 // takeRetry takes a retry from the budget of a workspace; false if the budget is used up.
 func (s *SessionManager) takeRetry(workspace string) bool {
-	s.retriesMu.Lock()
-	defer s.retriesMu.Unlock()
 	if s.retryBudgets.TakeRetry(workspace) {
 		return true
 	}
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,8 +81,7 @@
 	failedReadRetries metrics.Counter
 	// retriesRefused counts the retries for which a workspace had no budget.
 	retriesRefused metrics.Counter
-
-	retriesMu    sync.Mutex
+	// retryBudgets limits the statements that are sent again, by workspace.
 	retryBudgets *retries.Budgets
 }
 
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -87,12 +87,12 @@
 	config Config
 	// running is the number of calls of Run that have not returned.
 	running atomic.Int64
+	// retryBudgets limits the statements that are sent again, by workspace.
+	retryBudgets *retries.Budgets
 
 	mu           sync.Mutex
 	clients      map[catalog.EndpointKey]*endpointClient
 	transactions map[peer.TransactionKey]*transaction
-	// retryBudgets limits the statements that are sent again, by workspace.
-	retryBudgets *retries.Budgets
 }
 
 // New returns a Home without connections.
--- a/engine/endpoint/retry.go
+++ b/engine/endpoint/retry.go
@@ -33,8 +33,6 @@
 
 // newAttempts returns the attempts of a request that has just arrived, and counts it.
 func (h *Home) newAttempts(client *endpointClient, request *peer.RunRequest, deadline time.Time) *attempts {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.retryBudgets.CountRequest(request.Workspace)
 	return &attempts{
 		home:     h,
@@ -95,8 +93,6 @@
 
 // charge takes a retry out of the budget of the request's workspace; false if there is none left.
 func (a *attempts) charge() bool {
-	a.home.mu.Lock()
-	defer a.home.mu.Unlock()
 	if a.home.retryBudgets.TakeRetry(a.request.Workspace) {
 		return true
 	}
--- a/proxy/components.go
+++ b/proxy/components.go
@@ -11,6 +11,7 @@
 
 	"amaranthdock.dev/api/amaranthdock/endpoint/v1/endpointv1connect"
 	"amaranthdock.dev/api/amaranthdock/platform/v1/platformv1connect"
+	"amaranthdock.dev/decision/retries"
 	"amaranthdock.dev/decision/routing"
 	"amaranthdock.dev/decision/scheduling"
 	"amaranthdock.dev/decision/session"
@@ -246,7 +247,7 @@
 		Log:           b.logger.WithName("caller"),
 		Metrics:       b.registry,
 		Observer:      b.components.failover,
-		RetryBudget:   caller.NewRetryBudgets(),
+		RetryBudget:   retries.NewBudgets(),
 		Signer:        signer,
 		Timer:         b.timer,
 	})
