Remove a data race from the tests of engine/peer

Cause: the goroutine that serves read pair.listener, while a test that had closed the listener replaced it by a new one, so that its cleanup could close something.

Change: the goroutine gets the listener itself, and pair.stop closes it once; all checks stay.

--- a/engine/peer/peer_test.go
+++ b/engine/peer/peer_test.go
@@ -119,6 +119,7 @@
 	target      catalog.VM
 	clients     *peer.Clients
 	listener    net.Listener
+	stopped     sync.Once
 	mu          sync.Mutex
 	connections []net.Conn
 	muted       chan struct{}
@@ -134,9 +135,9 @@
 		vm:    &fakeVM{unblock: make(chan struct{})},
 		muted: make(chan struct{}),
 	}
-	var err error
-	p.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	p.listener = listener
 	server := peer.NewServer(peer.ServerConfig{
 		Handler: p.vm,
 		Timer:   timer.NewSystem(),
@@ -144,7 +145,7 @@
 	})
 	go func() {
 		defer GinkgoRecover()
-		Expect(server.Serve(context.Background(), p.listener)).To(Succeed())
+		Expect(server.Serve(context.Background(), listener)).To(Succeed())
 	}()
 	p.target = catalog.VM{
 		Name:    "vm2",
@@ -178,6 +179,11 @@
 	}, nil
 }
 
+// stop stops listening, once.
+func (p *pair) stop() {
+	p.stopped.Do(func() { Expect(p.listener.Close()).To(Succeed()) })
+}
+
 func (p *pair) closeConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,7 +211,7 @@
 
 	BeforeEach(func() {
 		p = newPair()
-		DeferCleanup(func() { Expect(p.listener.Close()).To(Succeed()) })
+		DeferCleanup(p.stop)
 	})
 
 	It("carry all fields of a statement and of its response", func() {
@@ -263,12 +269,11 @@
 
 	It("fail as not sent when the VM is not listening", func() {
 		// Guards against an unknown outcome of a call that cannot have been sent.
-		Expect(p.listener.Close()).To(Succeed())
+		p.stop()
 		_, err := p.run(&peer.RunRequest{}, time.Second)
 		Expect(err).To(MatchError(peer.ErrUnreachable))
 		Expect(p.clients.Unreachable("vm2")).To(BeTrue())
 		Expect(p.clients.Isolated()).To(BeFalse())
-		p.listener, _ = net.Listen("tcp", "127.0.0.1:0")
 	})
 
 	It("fail as lost when the connection ends", func() {
