Refuse the first attempt of a commit after its time limit, too

Cause: a commit that waited for another step of its transaction was sent although the VM had been suspended beyond the commit's time limit meanwhile; only the wait for a slot and the retries noticed it.

Change: each attempt of a commit checks the limit measured with SinceBoot before it is sent. The commit is then refused as not run, and its connection is closed.

--- a/engine/endpoint/retry.go
+++ b/engine/endpoint/retry.go
@@ -46,7 +46,12 @@
 // timeLeft reports whether there is time for another attempt.
 func (a *attempts) timeLeft(ctx context.Context) bool {
 	t := a.home.config.Timer
-	return ctx.Err() == nil && a.deadline.Sub(t.Now()) >= minRetryTimeout && t.SinceBoot() < a.endBoot
+	return ctx.Err() == nil && a.deadline.Sub(t.Now()) >= minRetryTimeout && !a.isLate()
+}
+
+// isLate reports whether the time limit is over, including the time for which this VM was suspended.
+func (a *attempts) isLate() bool {
+	return a.home.config.Timer.SinceBoot() >= a.endBoot
 }
 
 // mayRetry reports whether the request is sent once more, and charges the retry. The requests are
@@ -84,7 +89,7 @@
 // for it afterwards.
 func (a *attempts) waitBusy(ctx context.Context, delay time.Duration) bool {
 	<-a.home.config.Timer.After(delay).C()
-	if ctx.Err() != nil || a.home.config.Timer.SinceBoot() >= a.endBoot {
+	if ctx.Err() != nil || a.isLate() {
 		return false
 	}
 	a.home.config.Metrics.busyRetries.Inc(1)
--- a/engine/endpoint/retry_test.go
+++ b/engine/endpoint/retry_test.go
@@ -130,6 +130,30 @@
 		Expect(sent("commit")).To(Equal(1))
 	})
 
+	It("are not the only attempts of a commit that end with its time limit", func() {
+		// Guards against a commit that is sent after a suspension, behind another step of its
+		// transaction for which it waited.
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home = newHomeWithClock(fake, clock)
+		expectServed(home.Run(ctx, request(peer.StepFirst, "WRITE a b")))
+		fake.mu.Lock()
+		fake.holdReads = make(chan struct{})
+		fake.mu.Unlock()
+		step, commit := make(chan *peer.RunResponse, 1), make(chan *peer.RunResponse, 1)
+		go func() { step <- home.Run(ctx, request(peer.StepNext, "READ a")) }()
+		Eventually(func() int { return sent("READ") }).Should(Equal(1))
+		go func() { commit <- home.Run(ctx, request(peer.StepCommit, "COMMIT")) }()
+		Consistently(commit).WithTimeout(200 * time.Millisecond).ShouldNot(Receive())
+		clock.Suspend(time.Second)
+		close(fake.holdReads)
+		Eventually(step).Should(Receive())
+		var ran *peer.RunResponse
+		Eventually(commit).Should(Receive(&ran))
+		expectRefused(ran, refusal.NotRun, refusal.QueueTimeout)
+		Expect(sent("commit")).To(BeZero())
+		Expect(home.OpenTransactions()).To(BeZero())
+	})
+
 	Describe("of the first statement of a transaction", func() {
 		// busyTimes refuses the first commands of a kind as busy.
 		busyTimes := func(times int, matches func(endpoint.Command) bool) {
--- a/engine/endpoint/transaction.go
+++ b/engine/endpoint/transaction.go
@@ -218,6 +218,10 @@
 			t.ended = true
 			return errorResult(err)
 		}
+		if a.isLate() {
+			t.ended = true
+			return refusedResult(refusal.NewNotRun(refusal.QueueTimeout, "the VM was suspended until the timeout of the commit was over"))
+		}
 		timeout := a.deadline.Sub(h.config.Timer.Now())
 		sample := t.client.beginSample(a.request, timeout)
 		replies, err := t.connection.Run(timeout, []Command{Commit{ID: a.request.ID}})
