Remove a data race from the tests of cold endpoints

Cause: the fake endpoint appended the time of each request to a slice without a lock, although statements run concurrently.

Change: a lock protects the slice; all checks stay.

--- a/engine/endpoint/slowstart_test.go
+++ b/engine/endpoint/slowstart_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -26,9 +28,10 @@
 		fake  *fakeEndpoint
 		clock *timer.Manual
 		// received holds the time of each begin, statement, commit and rollback.
-		received []time.Duration
-		share    float64
-		home     *endpoint.Home
+		received   []time.Duration
+		receivedMu sync.Mutex
+		share      float64
+		home       *endpoint.Home
 	)
 	ctx := context.Background()
 
@@ -96,6 +99,13 @@
 		return ran
 	}
 
+	// requests returns what the endpoint has received.
+	requests := func() []time.Duration {
+		receivedMu.Lock()
+		defer receivedMu.Unlock()
+		return slices.Clone(received)
+	}
+
 	BeforeEach(func() {
 		received, share = nil, 1
 		clock = timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
@@ -103,7 +113,9 @@
 			switch c.(type) {
 			case endpoint.Set, endpoint.Prepare, endpoint.Discard:
 			default:
+				receivedMu.Lock()
 				received = append(received, clock.SinceBoot())
+				receivedMu.Unlock()
 			}
 			return endpoint.Reply{}, nil
 		}}
@@ -119,7 +131,7 @@
 		expectRefused(refused, refusal.NotRun, refusal.Overloaded)
 		Expect(refused.Refused.RetryAfter).To(Equal(1100 * time.Millisecond))
 		Expect(refused.Report.BudgetWait).To(Equal(1100 * time.Millisecond))
-		Expect(received).To(HaveLen(rate))
+		Expect(requests()).To(HaveLen(rate))
 		clock.Advance(1100 * time.Millisecond)
 		expectServed(home.Run(ctx, write()))
 	})
@@ -134,7 +146,7 @@
 			// for each deadline, and one for the budget.
 			results = append(results, start(write(lasting(2*time.Second)), 2+i))
 		}
-		Expect(received).To(HaveLen(rate))
+		Expect(requests()).To(HaveLen(rate))
 		clock.Advance(1100 * time.Millisecond)
 		for _, result := range results {
 			expectServed(expectResult(result))
@@ -157,7 +169,7 @@
 		Expect(ran.Report.BudgetWait).To(BeNumerically(">", 0))
 		clock.Advance(2 * time.Second)
 		expectRefused(home.Run(ctx, request(peer.StepPosition, "")), refusal.NotRun, refusal.NotReady)
-		Expect(received).To(BeEmpty())
+		Expect(requests()).To(BeEmpty())
 	})
 
 	// Guards against a successor that sends its budget in the same second as the lost home, and
@@ -174,13 +186,13 @@
 		Expect(ran.Refused.RetryAfter).To(Equal(1100 * time.Millisecond))
 		clock.Advance(900 * time.Millisecond)
 		expectRefused(successor.Run(ctx, write(lasting(50*time.Millisecond))), refusal.NotRun, refusal.Overloaded)
-		Expect(received).To(HaveLen(rate))
+		Expect(requests()).To(HaveLen(rate))
 		// The lost home is only cut off from its successor, and goes on.
 		clock.Advance(200 * time.Millisecond)
 		spend(home)
 		served, _ := spend(successor)
 		Expect(served).To(Equal(rate / 2))
-		Expect(received).To(HaveLen(2*rate + rate/2))
+		Expect(requests()).To(HaveLen(2*rate + rate/2))
 	})
 
 	It("refuses waiting writes once another VM is its home", func() {
@@ -222,7 +234,7 @@
 		expectProved()
 		clock.Advance(900 * time.Millisecond)
 		expectProved()
-		Expect(received).To(HaveLen(2))
+		Expect(requests()).To(HaveLen(2))
 		served, _ := spend(home)
 		Expect(served).To(Equal(rate - 2))
 	})
@@ -235,7 +247,7 @@
 		spend(home)
 		Expect(home.Run(ctx, request(peer.StepRollback, "")).Refused).To(BeNil())
 		Expect(strings.Join(fake.commands(), " ")).To(HaveSuffix("close"))
-		Expect(received).To(HaveLen(rate))
+		Expect(requests()).To(HaveLen(rate))
 		Expect(home.OpenTransactions()).To(BeZero())
 	})
 })
