--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -44,13 +44,18 @@
 	excluded map[string]bool
 	// primaryOnly is set once no replica is left that could serve the read.
 	primaryOnly bool
-	// failure is the endpoint's error for a read that was answered with a retry; nil if there was none.
-	failure     *refusal.Error
+	// failure is the refusal of the latest attempt that may have run and was followed by a retry; nil
+	// if there was none.
+	failure *refusal.Error
+	// failedReadRetried is set once the read was sent again after an error of the endpoint.
+	failedReadRetried bool
+	// overloads is the number of full endpoints after which the read was sent to another one.
+	overloads   int
 	lastRefusal *refusal.Error
 }
 
 func (s *Session) newDispatch(auth authorization, request *peer.RunRequest, started time.Time) *dispatch {
-	s.manager.countRequest(auth.workspace)
+	s.manager.retryBudgets.CountRequest(auth.workspace)
 	return &dispatch{
 		session:  s,
 		auth:     auth,
@@ -60,8 +65,8 @@
 	}
 }
 
-// run returns the result of the statement. If an endpoint ran a read and failed it, and the retry did
-// not run, the result is that failure: a refusal as not run would be wrong.
+// run returns the result of the statement. If an endpoint may have run a read, and the retry did not
+// run, the result is the first attempt's refusal: a refusal as not run would be wrong.
 func (d *dispatch) run(ctx context.Context) *peer.RunResponse {
 	result := d.runAttempts(ctx)
 	if d.failure != nil && result.Refused != nil && result.Refused.Outcome == refusal.NotRun {
@@ -88,6 +93,9 @@
 		// A read for which no replica can be chosen goes to the primary again and again, so that it has to
 		// pause there, too.
 		askedBefore := d.excluded[target.Key.ID]
+		if askedBefore && isOverload(d.lastRefusal) {
+			return &peer.RunResponse{Refused: d.lastRefusal}
+		}
 		result, final := d.tryEndpoint(ctx, target)
 		if final {
 			return result
@@ -261,13 +269,11 @@
 		// The home learned of the evacuation first.
 		return !d.isRead()
 	case refusal.Overloaded, refusal.QueueTimeout, refusal.DeadlineTooShort:
-		// A budget refusal of an endpoint that was asked before means that no other one can be chosen.
-		maySendElsewhere := len(d.excluded) == 0 || (isBudgetRefusal(result) && !d.excluded[target.Key.ID])
-		return d.needsPrimary() || !maySendElsewhere || !d.takeOverloadRetry()
+		return d.needsPrimary() || !d.mayRetryOverloaded(target, result)
 	case refusal.NotReady:
 		return !isBudgetRefusal(result)
 	case refusal.OutcomeNotKnown, refusal.DeadlineExceeded:
-		return d.request.Write || d.request.Step == peer.StepFirst
+		return d.request.Write || d.request.Step == peer.StepFirst || !d.mayRetryLostRead(ctx, result.Refused)
 	default:
 		return true
 	}
@@ -317,6 +323,10 @@
 			// The statement may have run, so it must not be repeated in another transaction.
 			return &peer.RunResponse{Refused: lostStepRefusal(d.request, err)}
 		case err != nil:
+			lost := refusal.NewUnknown(refusal.DeadlineExceeded, "the endpoint's home VM did not respond to the read")
+			if !d.mayRetryLostRead(ctx, lost) {
+				return &peer.RunResponse{Refused: lost}
+			}
 			lastResult = &peer.RunResponse{Refused: refusal.NewNotRun(refusal.Unreachable, "the endpoint's home VM did not respond")}
 			continue
 		case result.Refused != nil && result.Refused.Outcome == refusal.NotRun &&
--- a/engine/caller/session.go
+++ b/engine/caller/session.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,8 +79,9 @@
 	stopped atomic.Bool
 	// failedReadRetries counts the reads that were sent again after an error of the endpoint.
 	failedReadRetries metrics.Counter
-
-	retriesMu    sync.Mutex
+	// retriesRefused counts the retries for which a workspace had no budget.
+	retriesRefused metrics.Counter
+	// retryBudgets limits the statements that are sent again, by workspace.
 	retryBudgets *retries.Budgets
 }
 
@@ -91,6 +91,7 @@
 		config:            config,
 		statementMetrics:  newStatementMetrics(config.Registry),
 		failedReadRetries: metrics.GetOrRegisterCounter("statements.failedReadRetries", config.Registry),
+		retriesRefused:    metrics.GetOrRegisterCounter("statements.retriesRefused", config.Registry),
 		retryBudgets:      retries.NewBudgets(),
 	}
 }
--- a/engine/endpoint/outlier.go
+++ b/engine/endpoint/outlier.go
@@ -30,7 +30,9 @@
 		if err == nil {
 			reply = replies[i]
 		}
-		if outcome, ok := e.outcome(timeout, reply, err); ok {
+		if err == nil && reply.Err != nil && reply.Err.Code == Busy {
+			e.recordRejection(workspace)
+		} else if outcome, ok := outcomeOf(timeout, reply, err); ok {
 			e.recordOutcome(workspace, outcome)
 		}
 	}
@@ -45,19 +47,18 @@
 	}
 }
 
-// outcome classifies the reply to a statement; false if it says nothing about the endpoint.
-func (e *endpointClient) outcome(timeout time.Duration, reply Reply, err error) (outlier.Outcome, bool) {
+// outcomeOf classifies the reply to a statement; false if it says nothing about the endpoint, or if
+// it is a busy reply, on which recordRejection decides.
+func outcomeOf(timeout time.Duration, reply Reply, err error) (outlier.Outcome, bool) {
 	switch {
+	case errors.Is(err, errEndedHere):
+		return 0, false
 	case err != nil:
 		return outlier.NoResponse, timeout >= minEvidenceTimeout || !errors.Is(err, os.ErrDeadlineExceeded)
 	case reply.Err == nil:
 		return outlier.Succeeded, true
 	case reply.Err.Code == ExecutionFailed:
 		return outlier.Failed, true
-	case reply.Err.Code == Busy:
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return outlier.Rejected, e.queue.Running() <= e.target.Slots
 	default:
 		return 0, false
 	}
@@ -101,6 +102,7 @@
 	if !request.Alternatives {
 		return nil
 	}
+	e.advanceDetector()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.detector.Admit(e.config.Timer.SinceBoot()) {
@@ -111,12 +113,22 @@
 
 // isEjected reports whether reads should avoid the endpoint.
 func (e *endpointClient) isEjected() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, ejected := e.detector.State().(outlier.Ejected)
+	_, ejected := e.advanceDetector().(outlier.Ejected)
 	return ejected
 }
 
+// advanceDetector brings the detector's state up to date, logs a change and returns the state.
+func (e *endpointClient) advanceDetector() outlier.State {
+	e.mu.Lock()
+	changed := e.detector.Advance(e.config.Timer.SinceBoot())
+	state := e.detector.State()
+	e.mu.Unlock()
+	if changed {
+		e.logState(state)
+	}
+	return state
+}
+
 // ServesWell reports whether an endpoint of which this VM is the home has served statements
 // recently without being ejected.
 func (h *Home) ServesWell(target catalog.Endpoint) bool {
--- a/engine/endpoint/outlier_test.go
+++ b/engine/endpoint/outlier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,6 +54,34 @@
 	})
 })
 
+var _ = Describe("an ejected endpoint that gets no statements", func() {
+	It("gets all reads again after a time", func() {
+		// Guards against an endpoint that stays ejected because too few probes arrive.
+		ctx := context.Background()
+		fake := &fakeEndpoint{}
+		clock := timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home := newHomeWithClock(fake, clock)
+		read := func(workspace string) *peer.RunResponse {
+			return home.Run(ctx, request(peer.StepSingle, "READ a", func(r *peer.RunRequest) {
+				r.Workspace = workspace
+				r.Alternatives = true
+			}))
+		}
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) { return scriptedRefusal(endpoint.ExecutionFailed) }
+		for i := range 5 {
+			read(fmt.Sprintf("ws%d", i))
+		}
+		expectRefused(read("ws"), refusal.NotRun, refusal.EndpointEjected)
+		fake.respond = nil
+		clock.Advance(7 * time.Second)
+		Expect(read("ws").Report.Ejected).To(BeFalse())
+		clock.Advance(7 * time.Second)
+		for range 10 {
+			expectServed(read("ws"))
+		}
+	})
+})
+
 var _ = Describe("a busy reply", func() {
 	ctx := context.Background()
 	var (
@@ -109,3 +138,115 @@
 		Expect(len(fake.commands())).To(BeNumerically("<", 30))
 	})
 })
+
+var _ = Describe("busy replies of an endpoint with free slots", func() {
+	var (
+		fake *fakeEndpoint
+		home *endpoint.Home
+	)
+
+	run := func(step peer.Step, text string) *peer.RunResponse {
+		return home.Run(context.Background(), request(step, text, func(r *peer.RunRequest) { r.Alternatives = true }))
+	}
+	single := func() *peer.RunResponse { return run(peer.StepSingle, "READ a") }
+	first := func() *peer.RunResponse { return run(peer.StepFirst, "READ a") }
+	isEjected := func(run func() *peer.RunResponse) func() bool {
+		return func() bool { return run().Report.Ejected }
+	}
+
+	BeforeEach(func() {
+		fake = &fakeEndpoint{}
+		home = newHome(fake)
+		fake.respond = func(c endpoint.Command) (endpoint.Reply, error) {
+			if _, ok := c.(endpoint.Forward); ok {
+				return scriptedRefusal(endpoint.Busy)
+			}
+			return endpoint.Reply{}, nil
+		}
+	})
+
+	DescribeTable("eject it if it has no connections of another home", func(run func() *peer.RunResponse) {
+		// Guards against an endpoint that rejects its statements and keeps getting reads.
+		Eventually(isEjected(run)).Should(BeTrue())
+	},
+		Entry("for statements", single),
+		Entry("for transactions", first),
+	)
+
+	It("do not eject it if another home has connections, which may use the slots", func() {
+		// Guards against the ejection of an endpoint whose slots two homes use, as during a change
+		// of its home.
+		fake.foreign = 1
+		Consistently(isEjected(single)).WithTimeout(600 * time.Millisecond).Should(BeFalse())
+		Expect(fake.commands()).To(ContainElement("status"))
+		Expect(fake.connections()).To(BeNumerically("<=", 2))
+	})
+
+	It("are followed by few status requests", func() {
+		// Guards against status requests that take the slots of statements.
+		fake.foreign = 1
+		began := time.Now()
+		for range 200 {
+			expectRefused(single(), refusal.NotRun, refusal.Overloaded)
+		}
+		statuses := strings.Count(strings.Join(fake.commands(), " "), "status")
+		Expect(statuses).To(BeNumerically("<=", 1+int(time.Since(began)/(250*time.Millisecond))))
+	})
+})
+
+var _ = Describe("a wait for an endpoint that its home ends itself", func() {
+	ctx := context.Background()
+	const statements = 5
+	var (
+		fake  *fakeEndpoint
+		home  *endpoint.Home
+		clock *timer.Manual
+		held  chan struct{}
+	)
+
+	// runHeld runs statements that get no reply until end is called, and then fail. It reports
+	// whether the endpoint is ejected afterwards.
+	runHeld := func(end func()) bool {
+		var last *peer.RunResponse
+		for i := range statements {
+			result := make(chan *peer.RunResponse, 1)
+			go func() {
+				result <- home.Run(ctx, request(peer.StepSingle, "WRITE a b", func(r *peer.RunRequest) { r.Workspace = fmt.Sprintf("ws%d", i) }))
+			}()
+			sent := func() int { return strings.Count(strings.Join(fake.commands(), " "), "WRITE") }
+			Eventually(sent).Should(Equal(i + 1))
+			end()
+			held <- struct{}{}
+			Eventually(result).Should(Receive(&last))
+			expectRefused(last, refusal.Unknown, refusal.OutcomeNotKnown)
+		}
+		return last.Report.Ejected
+	}
+
+	BeforeEach(func() {
+		fake = &fakeEndpoint{}
+		clock = timer.NewManual(timer.ManualConfig{Start: time.Unix(1000, 0)})
+		home = newHomeWithClock(fake, clock)
+		held = make(chan struct{})
+		fake.respond = func(endpoint.Command) (endpoint.Reply, error) {
+			<-held
+			return endpoint.Reply{}, errConnectionLost
+		}
+	})
+
+	// Guards against the ejection of healthy endpoints, and against reports that they do not
+	// respond, after a suspension or at the end of the VM.
+	DescribeTable("says nothing about the endpoint", func(end func()) {
+		Expect(runHeld(end)).To(BeFalse())
+		Expect(fake.unresponsiveReports).To(BeZero())
+	},
+		Entry("after a suspension", func() { clock.Suspend(300 * time.Millisecond) }),
+		Entry("after a stop beyond the time limit", func() { clock.Advance(520 * time.Millisecond) }),
+		Entry("by closing its connections", func() { home.EndStatements() }),
+	)
+
+	It("is told from a connection that the endpoint ended", func() {
+		Expect(runHeld(func() {})).To(BeTrue())
+		Expect(fake.unresponsiveReports).NotTo(BeZero())
+	})
+})
