Keep an endpoint's connections below its limit

Cause: several homes could use the share of the first one while a home moved, after a loss of power or a restart; each further home took a fifth; unused connections stayed open beyond a lowered limit, which older VMs could raise again; a connection was opened before the endpoint had noticed the end of the evicted one; control commands were not counted.

Change: decision/connections splits the limit into shares that sum to it. Lower limits apply at once. Closed connections count until the endpoint has confirmed their end or a lag has passed. A VM runs one control command at an endpoint at a time.

--- a/engine/endpoint/commands.go
+++ b/engine/endpoint/commands.go
@@ -20,7 +20,7 @@
 }
 
 // Connection is one connection to an endpoint. It is used by one goroutine at a
-// time, except for Close and Broken.
+// time, except for Close, End and Broken.
 type Connection interface {
 	// Run sends the commands in one write and returns their replies in order. After an
 	// error the connection cannot be used any more; the complete replies that arrived
@@ -30,6 +30,9 @@
 	Broken() bool
 	// Close closes the connection; the endpoint then rolls back an open transaction.
 	Close()
+	// End closes the connection, and reports whether the endpoint has ended it, too, within the
+	// timeout.
+	End(timeout time.Duration) bool
 }
 
 // Command is a request to an endpoint: Forward, Execute, Begin, Commit, Rollback, Set,
--- a/engine/endpoint/control.go
+++ b/engine/endpoint/control.go
@@ -20,15 +20,22 @@
 
 // RunControlCommand runs Status or StepDown at an endpoint and returns its report. It
 // opens a separate connection, because it must work when all pooled connections are in
-// use or have stopped responding.
+// use or have stopped responding. Commands to one endpoint run one after another, so that
+// this VM has at most one connection beyond its limit.
 func (h *Home) RunControlCommand(ctx context.Context, target catalog.Endpoint, command Command) (*Report, error) {
+	end, err := h.beginControl(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	dialContext, cancel := timer.WithTimeout(ctx, h.config.Timer, ControlTimeout)
 	defer cancel()
 	c, err := h.config.Dialer.Dial(dialContext, target, controlWorkspace)
 	if err != nil {
 		return nil, err
 	}
-	defer c.Close()
+	// The next command opens its connection only when this one has ended.
+	defer c.End(endTimeout)
 	replies, err := c.Run(ControlTimeout, []Command{command})
 	if err != nil {
 		return nil, err
@@ -41,3 +48,51 @@
 	}
 	return replies[0].Report, nil
 }
+
+// beginControl waits until no other control command of this VM runs at the endpoint, and counts the
+// connection of the command if the limit of this home has room for it. Otherwise it is one of
+// connections.Shares.Control. The returned function ends that.
+func (h *Home) beginControl(ctx context.Context, target catalog.Endpoint) (func(), error) {
+	h.mu.Lock()
+	turn, ok := h.control[target.Key.ID]
+	if !ok {
+		turn = make(chan struct{}, 1)
+		h.control[target.Key.ID] = turn
+	}
+	client := h.clients[target.Key]
+	h.mu.Unlock()
+	timeout := h.config.Timer.After(ControlTimeout)
+	defer timeout.Stop()
+	select {
+	case turn <- struct{}{}:
+	case <-timeout.C():
+		return nil, eris.Errorf("another control command is running at endpoint %s", target.Key.ID)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	counted := client != nil && client.countControl()
+	return func() {
+		if counted {
+			client.uncountControl()
+		}
+		<-turn
+	}, nil
+}
+
+// countControl counts a connection that does not belong to the pool, and returns false if the limit
+// has no room.
+func (e *endpointClient) countControl() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.open+e.countedClosing() >= e.limit {
+		return false
+	}
+	e.open++
+	return true
+}
+
+func (e *endpointClient) uncountControl() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+}
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"amaranthdock.dev/decision/connections"
 	"amaranthdock.dev/decision/outlier"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/scheduling"
@@ -56,8 +57,16 @@
 	inUse map[*pooledConnection]struct{}
 	// open is the number of connections, including those that are being dialed; limit is
 	// how many this home may open.
-	open                 int
-	limit                int
+	open  int
+	limit int
+	// declared is the limit of the endpoint, and shares are its parts.
+	declared connections.Declared
+	shares   connections.Shares
+	// beyondLimitSince is since when open is above limit; zero if it is not.
+	beyondLimitSince time.Time
+	// closing holds until when the endpoint may still count each connection that was closed.
+	closing              []time.Duration
+	ends                 endStatus
 	pinnedConnections    int
 	pinWaiters           []pinWaiter
 	connectionLimitUntil time.Time
@@ -271,9 +280,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.pinWaiters) > 0 && e.pinnedConnections <= e.pinLimit() {
-		next := e.nextPinWaiter()
-		e.pinWaiters[next].granted <- struct{}{}
-		e.pinWaiters = slices.Delete(e.pinWaiters, next, next+1)
+		e.grantNextPin()
 		return
 	}
 	e.pinnedConnections--
@@ -284,11 +291,20 @@
 	return max(e.limit-e.target.Slots-slotMargin, 1)
 }
 
-// setLimit sets the number of connections that this home may open.
-func (e *endpointClient) setLimit(limit int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limit = max(limit, 1)
+// grantPins lets waiting transactions pin a connection while the limit allows. The lock must be held.
+func (e *endpointClient) grantPins() {
+	for len(e.pinWaiters) > 0 && e.pinnedConnections < e.pinLimit() {
+		e.pinnedConnections++
+		e.grantNextPin()
+	}
+}
+
+// grantNextPin passes a permission to pin a connection on to a waiting transaction. The lock must be
+// held.
+func (e *endpointClient) grantNextPin() {
+	next := e.nextPinWaiter()
+	e.pinWaiters[next].granted <- struct{}{}
+	e.pinWaiters = slices.Delete(e.pinWaiters, next, next+1)
 }
 
 // expectedWait returns the expected wait for a slot of another statement like the request: of
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -42,6 +42,12 @@
 	holdReads chan struct{}
 	// onDial is called when a connection was opened; may be nil.
 	onDial func()
+	// lingers makes the endpoint count connections after their end until settle is called, unless
+	// the home waits for the end and unconfirmed is not set.
+	lingers, unconfirmed bool
+	lingering            int
+	// rejected counts the connections beyond the limit.
+	rejected int
 	// unreachable makes all attempts to connect fail.
 	unreachable bool
 	// unresponsiveReports counts the calls of Config.ReportUnresponsive.
@@ -62,7 +68,8 @@
 	if f.unreachable {
 		return nil, errConnectionLost
 	}
-	if f.limit > 0 && f.open >= f.limit {
+	if f.limit > 0 && f.open+f.lingering >= f.limit {
+		f.rejected++
 		return nil, &endpoint.ReplyError{
 			Code: endpoint.TooManyConnections,
 			Text: "TOOMANY",
@@ -112,10 +119,26 @@
 		c.closed = true
 		close(c.ended)
 		c.fake.open--
+		if c.fake.lingers {
+			c.fake.lingering++
+		}
 		c.fake.log = append(c.fake.log, "close")
 	}
 }
 
+func (c *fakeConnection) End(time.Duration) bool {
+	c.Close()
+	c.fake.mu.Lock()
+	defer c.fake.mu.Unlock()
+	if c.fake.unconfirmed {
+		return false
+	}
+	if c.fake.lingers {
+		c.fake.lingering--
+	}
+	return true
+}
+
 func (c *fakeConnection) Run(_ time.Duration, commands []endpoint.Command) ([]endpoint.Reply, error) {
 	var replies []endpoint.Reply
 	for _, command := range commands {
--- a/engine/endpoint/home.go
+++ b/engine/endpoint/home.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"amaranthdock.dev/decision/connections"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/retries"
 	"amaranthdock.dev/decision/slowstart"
@@ -22,12 +23,6 @@
 )
 
 const (
-	// firstHomeShare is the fraction of an endpoint's connections that the VM ranked first
-	// may open. The rest is for a second home, which exists while VMs have different
-	// views of the fleet.
-	firstHomeShare = 0.8
-	// otherHomeShare is the fraction for a VM that is not ranked first.
-	otherHomeShare = 0.2
 	// idleClientTimeout is how long an endpoint client without statements keeps its
 	// connections when the endpoint is gone or this VM is not its first home.
 	idleClientTimeout = 2 * time.Second
@@ -43,6 +38,8 @@
 	Lookup func(id string) (catalog.Endpoint, bool)
 	// IsFirstHome reports whether this VM is ranked first among the endpoint's homes.
 	IsFirstHome func(catalog.Endpoint) bool
+	// Standing returns the place of this VM among an endpoint's homes; nil if IsFirstHome decides.
+	Standing func(catalog.Endpoint) connections.Standing
 	// Coldness returns what is known about a cold endpoint; may be nil.
 	Coldness func(catalog.Endpoint) slowstart.Coldness
 	// ColdTolerance states what cold endpoints tolerate.
@@ -64,11 +61,16 @@
 
 type homeMetrics struct {
 	connectionsOpened metrics.Counter
-	statements        metrics.Counter
-	openTransactions  metrics.Gauge
-	limitsLowered     metrics.Counter
-	limitsRaised      metrics.Counter
-	busyReplies       metrics.Counter
+	// connectionsEvicted counts the unused connections that were closed for another one,
+	// connectionsIdle those that were closed because they were not needed, connectionsRefused those
+	// that endpoints refused to open, and connectionsReleased the transactions that were rolled back
+	// because the limit of this home was lowered.
+	connectionsEvicted, connectionsIdle, connectionsRefused, connectionsReleased metrics.Counter
+	statements                                                                   metrics.Counter
+	openTransactions                                                             metrics.Gauge
+	limitsLowered                                                                metrics.Counter
+	limitsRaised                                                                 metrics.Counter
+	busyReplies                                                                  metrics.Counter
 	// ejections counts how often an endpoint was ejected, and busyRetries the statements that were
 	// sent again after a busy reply.
 	ejections   metrics.Counter
@@ -90,6 +92,10 @@
 	mu           sync.Mutex
 	clients      map[catalog.EndpointKey]*endpointClient
 	transactions map[peer.TransactionKey]*transaction
+	// tenures tells since when this VM is the first home, by the endpoint's id.
+	tenures map[string]*connections.Tenure
+	// control holds a token for each control command in progress, by the endpoint's id.
+	control map[string]chan struct{}
 	// retryBudgets limits the statements that are sent again, by workspace.
 	retryBudgets *retries.Budgets
 }
@@ -97,23 +103,29 @@
 // New returns a Home without connections.
 func New(config Config) *Home {
 	config.Metrics = homeMetrics{
-		connectionsOpened: metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
-		statements:        metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
-		openTransactions:  metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
-		limitsLowered:     metrics.GetOrRegisterCounter("endpoint.capacity.lowered", config.Registry),
-		limitsRaised:      metrics.GetOrRegisterCounter("endpoint.capacity.raised", config.Registry),
-		busyReplies:       metrics.GetOrRegisterCounter("endpoint.capacity.busyReplies", config.Registry),
-		ejections:         metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
-		busyRetries:       metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
-		coldEndpoints:     metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
-		coldRequests:      metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
-		coldWaits:         metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
-		coldRefused:       metrics.GetOrRegisterCounter("endpoint.coldRefused", config.Registry),
+		connectionsOpened:   metrics.GetOrRegisterCounter("endpoint.connectionsOpened", config.Registry),
+		connectionsEvicted:  metrics.GetOrRegisterCounter("endpoint.connections.evicted", config.Registry),
+		connectionsIdle:     metrics.GetOrRegisterCounter("endpoint.connections.closedIdle", config.Registry),
+		connectionsRefused:  metrics.GetOrRegisterCounter("endpoint.connections.refused", config.Registry),
+		connectionsReleased: metrics.GetOrRegisterCounter("endpoint.connections.released", config.Registry),
+		statements:          metrics.GetOrRegisterCounter("endpoint.statements", config.Registry),
+		openTransactions:    metrics.GetOrRegisterGauge("endpoint.openTransactions", config.Registry),
+		limitsLowered:       metrics.GetOrRegisterCounter("endpoint.capacity.lowered", config.Registry),
+		limitsRaised:        metrics.GetOrRegisterCounter("endpoint.capacity.raised", config.Registry),
+		busyReplies:         metrics.GetOrRegisterCounter("endpoint.capacity.busyReplies", config.Registry),
+		ejections:           metrics.GetOrRegisterCounter("endpoint.ejections", config.Registry),
+		busyRetries:         metrics.GetOrRegisterCounter("endpoint.busyRetries", config.Registry),
+		coldEndpoints:       metrics.GetOrRegisterCounter("endpoint.coldEndpoints", config.Registry),
+		coldRequests:        metrics.GetOrRegisterCounter("endpoint.coldRequests", config.Registry),
+		coldWaits:           metrics.GetOrRegisterCounter("endpoint.coldWaits", config.Registry),
+		coldRefused:         metrics.GetOrRegisterCounter("endpoint.coldRefused", config.Registry),
 	}
 	return &Home{
 		config:       config,
 		clients:      map[catalog.EndpointKey]*endpointClient{},
 		transactions: map[peer.TransactionKey]*transaction{},
+		tenures:      map[string]*connections.Tenure{},
+		control:      map[string]chan struct{}{},
 		retryBudgets: retries.NewBudgets(),
 	}
 }
@@ -178,11 +190,7 @@
 	if err := client.refusePlace(request); err != nil {
 		return nil, err
 	}
-	share := firstHomeShare
-	if !h.config.IsFirstHome(target) {
-		share = otherHomeShare
-	}
-	client.setLimit(int(share * float64(request.MaxConnections)))
+	h.limitConnections(client, request.MaxConnections)
 	if err := client.refuseIfNotColdHome(); err != nil {
 		return nil, err
 	}
@@ -346,48 +354,3 @@
 		client.closeInUse()
 	}
 }
-
-// Sweep rolls back transactions that exceeded their idle timeout, and closes idle
-// connections: those that exceeded maxIdleTime, and those to an endpoint that no longer
-// exists or of which another VM is the first home. The function exists reports whether
-// an endpoint still exists.
-func (h *Home) Sweep(exists func(catalog.EndpointKey) bool) {
-	now := h.config.Timer.Now()
-	h.mu.Lock()
-	var idleTransactions []*transaction
-	for _, t := range h.transactions {
-		// A transaction whose lock is held is running a step, so it is not idle.
-		if t.mu.TryLock() {
-			if now.Sub(t.lastUsed) > t.idleTimeout {
-				idleTransactions = append(idleTransactions, t)
-			}
-			t.mu.Unlock()
-		}
-	}
-	h.config.Metrics.openTransactions.Update(int64(len(h.transactions)))
-	var unusedClients []*endpointClient
-	for key, client := range h.clients {
-		client.closeIdleSince(now.Add(-maxIdleTime))
-		client.mu.Lock()
-		unused := now.Sub(client.lastUsed) > idleClientTimeout && client.pinnedConnections == 0
-		if client.updateSlowStart() && unused && !exists(key) {
-			client.endSlowStart()
-		}
-		client.mu.Unlock()
-		switch {
-		case unused && !exists(key):
-			delete(h.clients, key)
-			unusedClients = append(unusedClients, client)
-		case unused && !h.config.IsFirstHome(client.target):
-			unusedClients = append(unusedClients, client)
-		}
-	}
-	h.mu.Unlock()
-	for _, t := range idleTransactions {
-		h.config.Log.Info("Rolling back a transaction that exceeded its idle timeout.", "process", t.key.Process, "endpoint", t.client.target.Key.ID)
-		h.rollBackAndRelease(t, true)
-	}
-	for _, client := range unusedClients {
-		client.closeIdleSince(now)
-	}
-}
--- a/engine/store/claim.go
+++ b/engine/store/claim.go
@@ -102,6 +102,9 @@
 	return standing.MayUseShares()
 }
 
+// IsRegistered reports whether the registration of this VM has certainly not lapsed.
+func (s *Syncer) IsRegistered() bool { return s.since(s.registeredAt.Load()) < registrationTTL }
+
 // updateClaims adds the claims of VMs that have registered, and removes those of VMs whose
 // registration has been lapsed for long. Only the leader does that. It returns true if the next
 // read has to be current and soon.
--- a/engine/view/fleet.go
+++ b/engine/view/fleet.go
@@ -46,6 +46,7 @@
 	}
 	v.vms.Store(fleet)
 	v.rankedHomeCache = map[string][]catalog.VM{}
+	v.rankingsChangedAt = v.config.Timer.SinceBoot()
 	v.config.Log.Info("The fleet changed.", "vms", len(fleet.ByName), "leader", fleet.Leader, "revision", v.vmsRevision, "source", source)
 	v.notifyChange()
 	return true
@@ -218,8 +219,10 @@
 	}
 	if leaving {
 		v.leavingIncarnations[vm] = incarnation
+		v.rankingsChangedAt = v.config.Timer.SinceBoot()
 	} else {
 		delete(v.leavingIncarnations, vm)
+		v.rankingsChangedAt = v.config.Timer.SinceBoot()
 	}
 	v.notifyChange()
 }
--- a/engine/view/fleet_test.go
+++ b/engine/view/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -144,6 +145,22 @@
 		Expect(f.IsFirstHome(endpoint("e1", catalog.RoleReplica))).To(BeTrue())
 	})
 
+	It("count unreachable VMs, but not leaving ones, for the use of connections", func() {
+		// Guards against a home that uses the connections of one that it only does not reach.
+		target := endpoint("e1", catalog.RoleReplica)
+		f.unreachable["near"] = true
+		rank, _ := f.HomeStanding(target)
+		Expect(rank).To(Equal(1))
+		f.clock.Advance(time.Second)
+		f.SetLeaving("near", 1, true)
+		rank, since := f.HomeStanding(target)
+		Expect(rank).To(BeZero())
+		Expect(since).To(Equal(f.clock.SinceBoot()))
+		f.SetLeaving("self", 1, true)
+		rank, _ = f.HomeStanding(target)
+		Expect(rank).To(Equal(1))
+	})
+
 	It("end with a VM that is leaving, until it restarts", func() {
 		f.SetLeaving("near", 1, true)
 		f.expectHomes("self", "far", "near")
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -51,6 +51,8 @@
 	// rankedHomeCache holds the homes of each endpoint in rank order. It is cleared when
 	// the fleet changes.
 	rankedHomeCache map[string][]catalog.VM
+	// rankingsChangedAt is when a ranking of homes may last have changed, as a reading of SinceBoot.
+	rankingsChangedAt time.Duration
 	// lastContact holds the time of the last message from each VM, as a reading of
 	// SinceBoot.
 	lastContact map[string]time.Duration
@@ -93,6 +95,7 @@
 	v.registrations.Store(&catalog.VMSnapshot{})
 	v.endpoints.Store(&catalog.EndpointSnapshot{})
 	v.vms.Store(&catalog.VMSnapshot{})
+	v.rankingsChangedAt = config.Timer.SinceBoot()
 	return v
 }
 
--- a/engine/vm/coldhome.go
+++ b/engine/vm/coldhome.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthdock.dev/decision/connections"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/engine/peer"
@@ -29,3 +30,19 @@
 		}
 	}()
 }
+
+// homeStanding returns the place of this VM among an endpoint's homes.
+func (v *VM) homeStanding(endpoint catalog.Endpoint) connections.Standing {
+	rank, since := v.view.HomeStanding(endpoint)
+	return connections.Standing{
+		Rank:      rank,
+		Confirmed: v.store.IsRegistered() || v.gossip.HearsMostNeighbours(),
+		Since:     since,
+	}
+}
+
+// isRegistered reports whether this VM is registered in the fleet.
+func (v *VM) isRegistered() bool {
+	_, ok := v.view.VMs().ByName[v.config.Self.Name]
+	return ok
+}
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -169,6 +169,7 @@
 		Registry:    config.Registry,
 		Lookup:      v.view.Endpoint,
 		IsFirstHome: v.view.IsFirstHome,
+		Standing:    v.homeStanding,
 		Coldness:    v.view.Coldness,
 		ColdTolerance: slowstart.Config{
 			Overage: config.ColdOverage,
@@ -371,12 +372,6 @@
 	v.connections.SetCloseIdle(cutOff)
 }
 
-// isRegistered reports whether this VM is registered in the fleet.
-func (v *VM) isRegistered() bool {
-	_, ok := v.view.VMs().ByName[v.config.Self.Name]
-	return ok
-}
-
 // unregisteredFleetSize returns the size of the fleet for a VM that serves without a
 // registration because it has not reached the store since its start: the number of VMs
 // that sent it a message recently, itself included. Otherwise it returns 0.
