Raise a new home's limit as the endpoint counts fewer connections

Cause: a home that has just become the first one had one of the smaller shares for 7 s.

Change: 2 s after it became the first home, a home that needs more asks the endpoint for its number of connections, at most twice a second and on an unused connection where there is one, and may have the first share less the connections of others. Control commands keep a quarter of what the first home leaves, instead of a third. Transactions get at least half of a low limit.

--- a/decision/connections/shares.go
+++ b/decision/connections/shares.go
@@ -9,9 +9,10 @@
 	// to 8 verifiers open one each at the same time, and the verifiers that stand first in the
 	// ranking use their own shares.
 	maxControl = 5
-	// controlFraction is the fraction of the connections not left to the first home that is for
-	// control commands.
-	controlFraction = 3
+	// controlFraction is the inverse of the fraction of the connections not left to the first home
+	// that is for control commands. With a third, a home in a deployment of 30 connections for each
+	// endpoint had 2 after its start, of which transactions got 1.
+	controlFraction = 4
 )
 
 // Shares are the parts of an endpoint's connection limit. Their sum is not above the limit.
--- a/decision/connections/tenure.go
+++ b/decision/connections/tenure.go
@@ -34,6 +34,10 @@
 	rank         int
 	// since is when first last changed.
 	since time.Duration
+	// counted is set if the endpoint has told how many connections others have, and foreign is
+	// their number.
+	counted bool
+	foreign int
 }
 
 // Update records the standing at a time, and reports whether the VM has become the first home or
@@ -46,6 +50,7 @@
 		t.since = min(s.Since, now)
 	case changed:
 		t.since = now
+		t.counted = false
 	}
 	t.known = true
 	t.first = first
@@ -55,15 +60,32 @@
 
 // Limit returns the number of connections that the home may have open.
 func (t *Tenure) Limit(now time.Duration, shares Shares) int {
-	if t.first && now-t.since >= HoldTime {
+	switch {
+	case !t.first:
+		return shares.Of(t.rank)
+	case now-t.since >= HoldTime:
 		return shares.First
+	case t.counted:
+		return max(shares.First-t.foreign, shares.Of(1))
+	default:
+		return shares.Of(1)
 	}
-	return shares.Of(t.rank)
 }
 
-// Holding reports whether the VM is the first home, and an earlier one may still have connections.
-func (t *Tenure) Holding(now time.Duration) bool {
-	return t.first && now-t.since < HoldTime
+// MayCount reports whether the endpoint's number of connections tells how many the home may have: an
+// earlier home may still have some, but has learned that it may not open more.
+func (t *Tenure) MayCount(now time.Duration) bool {
+	return t.first && now-t.since >= LearnTime && now-t.since < HoldTime
+}
+
+// Count records how many connections of others the endpoint counted after it had been asked at a
+// time.
+func (t *Tenure) Count(askedAt time.Duration, foreign int) {
+	if !t.MayCount(askedAt) || foreign < 0 {
+		return
+	}
+	t.foreign = foreign
+	t.counted = true
 }
 
 // Declared tracks the connection limit that is declared for an endpoint. Requests of other VMs
--- a/engine/endpoint/acquire.go
+++ b/engine/endpoint/acquire.go
@@ -91,6 +91,9 @@
 		e.open++
 		e.handshakes++
 		return nil, nil, nil
+	}
+	e.needsMore = true
+	switch {
 	case len(e.idle) > 0 && e.open <= e.limit && e.config.Timer.SinceBoot() >= e.ends.evictAfter:
 		e.handshakes++
 		return nil, e.evict(), nil
--- a/engine/endpoint/control.go
+++ b/engine/endpoint/control.go
@@ -6,7 +6,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"amaranthdock.dev/decision/evacuation"
 	"amaranthdock.dev/engine/catalog"
+	"amaranthdock.dev/engine/guard"
 	"amaranthdock.dev/timer"
 )
 
@@ -96,3 +98,61 @@
 	defer e.mu.Unlock()
 	e.open--
 }
+
+// takeNeedsMore reports whether connections were needed beyond the limit since the last call.
+func (e *endpointClient) takeNeedsMore() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	needsMore := e.needsMore
+	e.needsMore = false
+	return needsMore
+}
+
+// established returns the number of open connections without those that are being opened.
+func (e *endpointClient) established() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open - e.handshakes
+}
+
+// statusOnIdle returns the endpoint's report on an unused connection; nil if there is none or it fails.
+func (h *Home) statusOnIdle(client *endpointClient) *Report {
+	c := client.takeAnyIdle()
+	if c == nil {
+		return nil
+	}
+	replies, err := c.Run(ControlTimeout, []Command{Status{}})
+	client.put(c, err == nil)
+	if err != nil {
+		return nil
+	}
+	return replies[0].Report
+}
+
+// countConnections asks an endpoint how many connections it has, on an unused connection or else on a
+// separate one, and updates the limit: connections of an earlier home that have ended may be opened here.
+func (h *Home) countConnections(client *endpointClient) {
+	defer guard.Recover(h.config.Log, "count of connections")
+	if h.config.access(client.target) == evacuation.Closed {
+		return
+	}
+	askedAt, own := h.config.Timer.SinceBoot(), client.established()
+	report := h.statusOnIdle(client)
+	if report == nil {
+		var err error
+		if report, err = h.RunControlCommand(context.Background(), client.target, Status{}); err != nil {
+			return
+		}
+	}
+	// Connections that were opened or closed meanwhile must not make the others seem fewer.
+	own = min(own, client.established())
+	counted := report.Connections
+	h.mu.Lock()
+	if tenure, ok := h.tenures[client.target.Key.ID]; ok {
+		tenure.Count(askedAt, counted-own)
+	}
+	h.mu.Unlock()
+	h.limitConnections(client, 0)
+	h.config.Log.V(1).Info("Counted the connections at an endpoint.", "endpoint", client.target.Key.ID, "database", client.target.Database,
+		"counted", counted, "own", own)
+}
--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -69,6 +69,8 @@
 	ends    endStatus
 	// handshakes is the number of connections that are being opened.
 	handshakes int
+	// needsMore is set when a connection is needed beyond the limit.
+	needsMore bool
 	// demand is the demand for connections, as a function of the time since startedAt.
 	demand               connections.Demand
 	startedAt            time.Time
@@ -258,6 +260,7 @@
 		e.mu.Unlock()
 		return nil
 	}
+	e.needsMore = true
 	granted := make(chan struct{}, 1)
 	e.pinWaiters = append(e.pinWaiters, pinWaiter{
 		granted: granted,
@@ -294,9 +297,11 @@
 	e.pinnedConnections--
 }
 
-// pinLimit returns the largest number of pinned connections.
+// pinLimit returns the largest number of pinned connections. While the limit is low, transactions get
+// half of it at least: one connection for each slot would leave them hardly any for as long as a home holds
+// few connections after a move.
 func (e *endpointClient) pinLimit() int {
-	return max(e.limit-e.target.Slots-slotMargin, 1)
+	return max(e.limit-min(e.target.Slots+slotMargin, e.limit/2), 1)
 }
 
 // grantPins lets waiting transactions pin a connection while the limit allows. The lock must be held.
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -187,6 +187,9 @@
 				reply = scripted
 			}
 		}
+		if _, ok := command.(endpoint.Status); ok {
+			reply.Report = &endpoint.Report{Connections: c.fake.connections()}
+		}
 		reply.State = c.nextState(command, reply.Err)
 		replies = append(replies, reply)
 	}
--- a/engine/endpoint/limit_test.go
+++ b/engine/endpoint/limit_test.go
@@ -113,6 +113,40 @@
 		Expect(f.fake.connections()).To(BeNumerically(">=", shares.First))
 	})
 
+	It("lets the next home open what the endpoint counts less", func() {
+		// Guards against a home that holds few connections for long although those of the home
+		// before it have ended, and against one that opens them before they have.
+		former, next := f.home(0), f.home(1)
+		next.serve(1)
+		former.serve(50)
+		former.rank.Store(1)
+		next.rank.Store(0)
+		next.serve(50)
+		f.clock.Advance(connections.LearnTime)
+		next.sweep()
+		next.serve(50)
+		f.expectNoneRejected()
+		Expect(f.fake.connections()).To(Equal(shares.First + shares.Of(1)))
+		former.sweep()
+		Eventually(func() int {
+			next.serve(50)
+			next.sweep()
+			return f.fake.connections()
+		}).Should(Equal(shares.First))
+		f.expectNoneRejected()
+	})
+
+	It("leaves transactions more than half of a low limit", func() {
+		// Guards against transactions that wait for each other as long as a home holds few
+		// connections.
+		home := f.home(1)
+		Expect(shares.Of(1)).To(Equal(3))
+		home.open(1)
+		home.open(2)
+		home.serve(3)
+		Expect(f.fake.connections()).To(Equal(3))
+	})
+
 	It("is kept after a home has lost power", func() {
 		// Guards against a home that opens connections while the endpoint counts those of the
 		// home before it.
--- a/engine/endpoint/sweep.go
+++ b/engine/endpoint/sweep.go
@@ -32,9 +32,11 @@
 		}
 	}
 	h.config.Metrics.openTransactions.Update(int64(len(h.transactions)))
-	var unusedClients []*endpointClient
+	var unusedClients, counting []*endpointClient
 	for key, client := range h.clients {
-		h.limitConnectionsLocked(client, 0)
+		if h.limitConnectionsLocked(client, 0) {
+			counting = append(counting, client)
+		}
 		client.closeUnneeded()
 		client.mu.Lock()
 		unused := now.Sub(client.lastUsed) > idleClientTimeout && client.pinnedConnections == 0
@@ -54,6 +56,9 @@
 	h.forgetEndpoints()
 	h.mu.Unlock()
 	h.releaseBeyondLimits(excess)
+	for _, client := range counting {
+		go h.countConnections(client)
+	}
 	for _, t := range idleTransactions {
 		h.config.Log.Info("Rolling back a transaction that exceeded its idle timeout.", "process", t.key.Process, "endpoint", t.client.target.Key.ID)
 		h.rollBackAndRelease(t, true)
@@ -71,8 +76,10 @@
 	h.limitConnectionsLocked(client, declared)
 }
 
-// limitConnectionsLocked does the work of limitConnections. The home's lock must be held.
-func (h *Home) limitConnectionsLocked(client *endpointClient, declared int) {
+// limitConnectionsLocked does the work of limitConnections, and reports whether the number of
+// connections at the endpoint would tell that more may be opened that were needed since the last
+// call that returned true. The home's lock must be held.
+func (h *Home) limitConnectionsLocked(client *endpointClient, declared int) bool {
 	now := h.config.Timer.SinceBoot()
 	id := client.target.Key.ID
 	tenure, ok := h.tenures[id]
@@ -87,6 +94,7 @@
 		h.config.Log.Info("Whether this VM is the first home of an endpoint has changed.", "endpoint", id, "database", client.target.Database,
 			"rank", standing.Rank, "confirmed", standing.Confirmed, "connections", open, "limit", limit)
 	}
+	return declared == 0 && tenure.MayCount(now) && client.takeNeedsMore()
 }
 
 // standing returns the place of this VM among an endpoint's homes.
@@ -112,7 +120,7 @@
 		e.shares = connections.Split(e.declared.Update(now, declared))
 	}
 	before := e.limit
-	e.limit = tenure.Limit(now, e.shares)
+	e.limit = max(tenure.Limit(now, e.shares), 1)
 	if e.limit > before {
 		e.grantPins()
 	}
--- a/loadtool/bench/poolrun.go
+++ b/loadtool/bench/poolrun.go
@@ -71,6 +71,7 @@
 	idle       []connections.Idle
 	open       int
 	demand     connections.Demand
+	tenure     connections.Tenure
 	backoff    time.Time
 	// busy is the number of slots in use at the endpoint, and sent the work that waits there.
 	busy     int
@@ -102,6 +103,14 @@
 		urgent:    newLatencyHistogram(),
 	}
 	r.began = r.now
+	standing := connections.Standing{
+		Confirmed: true,
+		Since:     -connections.HoldTime,
+	}
+	if scenario.moved {
+		standing.Since = 0
+	}
+	r.tenure.Update(0, standing)
 	r.resetQueue()
 	return r
 }
@@ -316,9 +325,10 @@
 	execute()
 }
 
-// sweep closes unused connections.
+// sweep closes unused connections, and asks the endpoint for the number of its connections.
 func (r *poolRun) sweep(end time.Time) {
 	r.after(poolSweep, func() {
+		r.tenure.Count(r.elapsed(), r.former())
 		unneeded := make([]bool, len(r.idle))
 		if r.choice.byDemand {
 			unneeded = r.demand.Unneeded(r.elapsed(), r.idle)
