Divide the connection limit only when it changes

Cause: each statement divided the limit again, which allocates.

Change: the shares are kept until the declared limit changes.

--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -59,9 +59,10 @@
 	// how many this home may open.
 	open  int
 	limit int
-	// declared is the limit of the endpoint, and shares are its parts.
-	declared connections.Declared
-	shares   connections.Shares
+	// declared is the limit of the endpoint, and shares are the parts of splitLimit.
+	declared   connections.Declared
+	splitLimit int
+	shares     connections.Shares
 	// beyondLimitSince is since when open is above limit; zero if it is not.
 	beyondLimitSince time.Time
 	// closing holds until when the endpoint may still count each connection that was closed.
--- a/engine/endpoint/sweep.go
+++ b/engine/endpoint/sweep.go
@@ -117,7 +117,9 @@
 func (e *endpointClient) setLimit(now time.Duration, declared int, tenure *connections.Tenure) (int, int) {
 	e.mu.Lock()
 	if declared > 0 {
-		e.shares = connections.Split(e.declared.Update(now, declared))
+		if applied := e.declared.Update(now, declared); applied != e.splitLimit {
+			e.splitLimit, e.shares = applied, connections.Split(applied)
+		}
 	}
 	before := e.limit
 	e.limit = max(tenure.Limit(now, e.shares), 1)
