Count the few connections of a new home in the replay of a restart

Cause: the replay of a restart let the home have the first share at once, which hid what the limit costs after a restart. With the few connections of that time, statements with a connection went first for as long as the limit was reached.

Change: the replay begins a new tenure at the restart, and the order of statements during handshakes applies only while the limit has room.

--- a/engine/endpoint/demand.go
+++ b/engine/endpoint/demand.go
@@ -83,9 +83,10 @@
 }
 
 // isHeld reports whether the statements of a workspace start after those that have a connection,
-// because many connections are being opened. The lock must be held.
+// because many connections are being opened. At the limit that would favour the few workspaces that
+// have a connection for long, so that it applies only while there is room. The lock must be held.
 func (e *endpointClient) isHeld(workspace string) bool {
-	return e.handshakes >= connections.MaxHandshakes(e.target.Slots) &&
+	return e.handshakes >= connections.MaxHandshakes(e.target.Slots) && e.open < e.limit &&
 		!slices.ContainsFunc(e.idle, func(c *pooledConnection) bool { return c.workspace == workspace })
 }
 
--- a/loadtool/bench/poolrun.go
+++ b/loadtool/bench/poolrun.go
@@ -127,7 +127,7 @@
 
 // held reports whether the statements of a workspace wait for the handshakes in progress.
 func (r *poolRun) held(workspace string) bool {
-	return r.choice.handshakes > 0 && r.handshakes >= r.choice.handshakes &&
+	return r.choice.handshakes > 0 && r.handshakes >= r.choice.handshakes && r.open < r.poolLimit() &&
 		!slices.ContainsFunc(r.idle, func(c connections.Idle) bool { return c.Workspace == workspace })
 }
 
@@ -164,10 +164,16 @@
 	r.runAll()
 }
 
-// restart empties the pool, and lets callers send again what they waited for.
+// restart loses what the home knows and has, and lets callers send again what they waited for.
 func (r *poolRun) restart(backlog int) {
 	r.open -= len(r.idle)
 	r.idle = nil
+	r.demand = connections.Demand{}
+	r.tenure = connections.Tenure{}
+	r.tenure.Update(r.elapsed(), connections.Standing{
+		Confirmed: true,
+		Since:     r.elapsed(),
+	})
 	for range backlog {
 		r.arrive(r.random.IntN(poolWorkspaces))
 	}
