Merge pools: connection limits that hold, eviction and closing by demand

A home's pool follows the demand of the workspaces, and the connections that an endpoint counts stay below its limit also while homes move.

--- a/engine/endpoint/endpoint_client.go
+++ b/engine/endpoint/endpoint_client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"amaranthdock.dev/decision/connections"
 	"amaranthdock.dev/decision/outlier"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/decision/scheduling"
@@ -57,8 +58,24 @@
 	inUse map[*pooledConnection]struct{}
 	// open is the number of connections, including those that are being dialed; limit is
 	// how many this home may open.
-	open                 int
-	limit                int
+	open  int
+	limit int
+	// declared is the limit of the endpoint, and shares are the parts of splitLimit.
+	declared   connections.Declared
+	splitLimit int
+	shares     connections.Shares
+	// beyondLimitSince is since when open is above limit; zero if it is not.
+	beyondLimitSince time.Time
+	// closing holds until when the endpoint may still count each connection that was closed.
+	closing []time.Duration
+	ends    endStatus
+	// handshakes is the number of connections that are being opened.
+	handshakes int
+	// needsMore is set when a connection is needed beyond the limit.
+	needsMore bool
+	// demand is the demand for connections, as a function of the time since startedAt.
+	demand               connections.Demand
+	startedAt            time.Time
 	pinnedConnections    int
 	pinWaiters           []pinWaiter
 	connectionLimitUntil time.Time
@@ -89,12 +106,14 @@
 		target.Slots = defaultSlots
 	}
 	e := &endpointClient{
-		config:   config,
-		target:   target,
-		waiters:  map[uint64]chan error{},
-		inUse:    map[*pooledConnection]struct{}{},
-		detector: outlier.New(),
-		limits:   newLearnedLimits(target.Slots),
+		config:    config,
+		target:    target,
+		waiters:   map[uint64]chan error{},
+		inUse:     map[*pooledConnection]struct{}{},
+		detector:  outlier.New(),
+		limits:    newLearnedLimits(target.Slots),
+		demand:    connections.Demand{ByUrgency: config.UrgencyAcrossWorkspaces},
+		startedAt: config.Timer.Now(),
 	}
 	e.queue = scheduling.New(scheduling.Config{
 		Policy:             queuePolicy(config),
@@ -102,6 +121,7 @@
 		MaxWait:            maxQueueWait,
 		InitialServiceTime: initialServiceTime,
 		MayStart:           e.mayStart,
+		Held:               e.isHeld,
 	})
 	return e
 }
@@ -243,6 +263,7 @@
 		e.mu.Unlock()
 		return nil
 	}
+	e.needsMore = true
 	granted := make(chan struct{}, 1)
 	e.pinWaiters = append(e.pinWaiters, pinWaiter{
 		granted: granted,
@@ -273,24 +294,33 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.pinWaiters) > 0 && e.pinnedConnections <= e.pinLimit() {
-		next := e.nextPinWaiter()
-		e.pinWaiters[next].granted <- struct{}{}
-		e.pinWaiters = slices.Delete(e.pinWaiters, next, next+1)
+		e.grantNextPin()
 		return
 	}
 	e.pinnedConnections--
 }
 
-// pinLimit returns the largest number of pinned connections.
+// pinLimit returns the largest number of pinned connections. While the limit is low, transactions get
+// half of it at least: one connection for each slot would leave them hardly any for as long as a home holds
+// few connections after a move.
 func (e *endpointClient) pinLimit() int {
-	return max(e.limit-e.target.Slots-slotMargin, 1)
+	return max(e.limit-min(e.target.Slots+slotMargin, e.limit/2), 1)
 }
 
-// setLimit sets the number of connections that this home may open.
-func (e *endpointClient) setLimit(limit int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limit = max(limit, 1)
+// grantPins lets waiting transactions pin a connection while the limit allows. The lock must be held.
+func (e *endpointClient) grantPins() {
+	for len(e.pinWaiters) > 0 && e.pinnedConnections < e.pinLimit() {
+		e.pinnedConnections++
+		e.grantNextPin()
+	}
+}
+
+// grantNextPin passes a permission to pin a connection on to a waiting transaction. The lock must be
+// held.
+func (e *endpointClient) grantNextPin() {
+	next := e.nextPinWaiter()
+	e.pinWaiters[next].granted <- struct{}{}
+	e.pinWaiters = slices.Delete(e.pinWaiters, next, next+1)
 }
 
 // expectedWait returns the expected wait for a slot of another statement like the request: of
--- a/engine/endpoint/fakes_test.go
+++ b/engine/endpoint/fakes_test.go
@@ -40,10 +40,20 @@
 	// holdReads, if set, blocks the reply to each read until a value is sent or the
 	// channel is closed.
 	holdReads chan struct{}
+	// holdDials, if set, blocks each attempt to connect until the channel is closed; dials counts
+	// those that are blocked.
+	holdDials chan struct{}
+	dials     int
 	// onDial is called when a connection was opened; may be nil.
 	onDial func()
 	// foreign is the number of connections of other homes that the status contains.
 	foreign int
+	// lingers makes the endpoint count connections after their end until settle is called, unless
+	// the home waits for the end and unconfirmed is not set.
+	lingers, unconfirmed bool
+	lingering            int
+	// rejected counts the connections beyond the limit.
+	rejected int
 	// unreachable makes all attempts to connect fail.
 	unreachable bool
 	// unresponsiveReports counts the calls of Config.ReportUnresponsive.
@@ -61,10 +71,18 @@
 func (f *fakeEndpoint) Dial(_ context.Context, _ catalog.Endpoint, workspace string) (endpoint.Connection, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if hold := f.holdDials; hold != nil {
+		f.dials++
+		f.mu.Unlock()
+		<-hold
+		f.mu.Lock()
+		f.dials--
+	}
 	if f.unreachable {
 		return nil, errConnectionLost
 	}
-	if f.limit > 0 && f.open >= f.limit {
+	if f.limit > 0 && f.open+f.lingering >= f.limit {
+		f.rejected++
 		return nil, &endpoint.ReplyError{
 			Code: endpoint.TooManyConnections,
 			Text: "TOOMANY",
@@ -87,6 +105,12 @@
 	return append([]string(nil), f.log...)
 }
 
+func (f *fakeEndpoint) dialing() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dials
+}
+
 func (f *fakeEndpoint) connections() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,10 +138,26 @@
 		c.closed = true
 		close(c.ended)
 		c.fake.open--
+		if c.fake.lingers {
+			c.fake.lingering++
+		}
 		c.fake.log = append(c.fake.log, "close")
 	}
 }
 
+func (c *fakeConnection) End(time.Duration) bool {
+	c.Close()
+	c.fake.mu.Lock()
+	defer c.fake.mu.Unlock()
+	if c.fake.unconfirmed {
+		return false
+	}
+	if c.fake.lingers {
+		c.fake.lingering--
+	}
+	return true
+}
+
 func (c *fakeConnection) Run(_ time.Duration, commands []endpoint.Command) ([]endpoint.Reply, error) {
 	var replies []endpoint.Reply
 	for _, command := range commands {
@@ -154,6 +194,9 @@
 				reply = scripted
 			}
 		}
+		if _, ok := command.(endpoint.Status); ok {
+			reply.Report = &endpoint.Report{Connections: c.fake.connections()}
+		}
 		reply.State = c.nextState(command, reply.Err)
 		replies = append(replies, reply)
 	}
