Keep large regions from reading the store all at once

VMs without an update from their readers read it themselves 6 s after the start, or as soon as all updates were 2 s old. 140 of them share a link of 60 Mbit/s, so none gets it within the 10 s of a call, the readers' own calls become slow, all updates stay old, and the state lasts.

Change: - The longest start delay grows with the region (200 ms for each VM, at least 6 s), and a VM that does not know the fleet leaves the store to others for 6 to 30 s. Until then it requests the configuration from VMs of other regions, compressed (130 kB). - The age at which updates count as too old grows with the rank of the VM, by 20 ms each and 2 s at most. - Any VM that sends its configuration states its version, so that the requesting VM knows up to which revision of the store it has it, and need not read it whole before it watches. - An exchange whose data could not be read confirms nothing. - Readers are chosen by weighted hashing on the speed of the link.

--- a/decision/confsync/reading.go
+++ b/decision/confsync/reading.go
@@ -15,6 +15,12 @@
 	// registration, each of which shows that the reader can reach the store. It leaves
 	// half of the 4 s within which a configuration has to become active.
 	MaxUpdateAge = 2 * time.Second
+	// UpdateAgeSpreadPerVM is added to MaxUpdateAge for each VM that ranks before a VM, at most
+	// MaxUpdateAgeSpread in all. With 150 VMs in a region whose readers were slow, all others read the
+	// store at the same time and filled the link between regions, so that the readers stayed slow.
+	UpdateAgeSpreadPerVM = 20 * time.Millisecond
+	// MaxUpdateAgeSpread leaves 2 s until a configuration has to be in force.
+	MaxUpdateAgeSpread = 2 * time.Second
 	// LapseRetention is how long after an outage of the store a VM whose registration is
 	// missing stays in the fleet. The leases of all VMs may expire during the outage, and
 	// the VMs register again within one interval between two renewals and the longest
@@ -27,17 +33,19 @@
 	// VMs of a region read a large configuration from the store at once, none of them
 	// gets it in time, since they share the link between regions.
 	StartDelayPerVM = 50 * time.Millisecond
-	// MaxStartDelay is the longest time that a VM waits in this way, but for a random part of the
-	// time that all groups of the region take. Without that part, 145 of 150 VMs began to read at
-	// the same time if the readers were slow.
-	MaxStartDelay = 6 * time.Second
+	// MaxStartDelay is the longest time that a VM of a small region waits in this way, and
+	// MaxStartDelayPerVM that of a large one for each of its VMs. With 6 s, 145 of 150 VMs began to
+	// read 4 MB at the same time if the readers were slow, and none got it within the 10 s of a call.
+	// Meanwhile they request the configuration from VMs of other regions, compressed.
+	MaxStartDelay      = 6 * time.Second
+	MaxStartDelayPerVM = 200 * time.Millisecond
 	// MinUnknownFleetDelay is the shortest time for which a VM that has just started and does not
 	// know the fleet yet leaves the store to others. With 301 VMs and 3,600 routes, all VMs of a
 	// region read the configuration over the link between regions at once, none of them got it
 	// within the timeout of a call, and all began again.
-	MinUnknownFleetDelay = 3 * time.Second
+	MinUnknownFleetDelay = 6 * time.Second
 	// MaxUnknownFleetDelay is the longest such time. The VMs draw their times at random.
-	MaxUnknownFleetDelay = 9 * time.Second
+	MaxUnknownFleetDelay = 30 * time.Second
 )
 
 // ReaderCount returns how many VMs of a region of the given size read the store for the
@@ -53,7 +61,7 @@
 	// IsSeed is true if other VMs contact this VM at their start.
 	IsSeed bool
 	// Spread is a random number from 0 to 1 that the VM draws at its start. It spreads the VMs that
-	// read the store because they got no update.
+	// read the store because they do not learn the fleet.
 	Spread float64
 	// IsLeader is true if the VM is the leader, which requests promotions.
 	IsLeader bool
@@ -103,7 +111,7 @@
 		return ReadStore{Reason: "the VM is a reader"}
 	case in.IsLeader:
 		return ReadStore{Reason: "the VM is the leader"}
-	case in.HasUpdate && in.UpdateAge > MaxUpdateAge:
+	case in.HasUpdate && in.UpdateAge > MaxUpdateAge+min(time.Duration(in.Rank)*UpdateAgeSpreadPerVM, MaxUpdateAgeSpread):
 		return ReadStore{Reason: "the latest update from the readers is too old"}
 	case !in.HasUpdate && in.Uptime > in.startDelay(readers):
 		return ReadStore{Reason: "no update from the readers since the start"}
@@ -120,10 +128,6 @@
 
 // startDelay returns how long after its start a VM waits for the first update from the readers.
 func (in SourceInput) startDelay(readers int) time.Duration {
-	wholeRegion := time.Duration(in.RegionSize) * StartDelayPerVM
-	delay := time.Duration(in.Rank/readers) * wholeRegion
-	if delay <= MaxStartDelay {
-		return delay
-	}
-	return MaxStartDelay + time.Duration(in.Spread*float64(wholeRegion))
+	regionSize := time.Duration(in.RegionSize)
+	return min(time.Duration(in.Rank/readers)*regionSize*StartDelayPerVM, max(MaxStartDelay, regionSize*MaxStartDelayPerVM))
 }
--- a/engine/gossip/gossip.go
+++ b/engine/gossip/gossip.go
@@ -67,6 +67,9 @@
 	RecordRunningPeer(knowsPredecessor bool)
 	// RecordFleetUpdate records that a VM whose fleet is settled has sent the registrations.
 	RecordFleetUpdate()
+	// RecordConfigurationRevision records that this VM knows the configuration up to a store
+	// revision.
+	RecordConfigurationRevision(revision uint64)
 	// RecordReaderUpdate records that a reader has sent the data that the store held at a
 	// boot-clock reading, and the configuration up to a store revision.
 	RecordReaderUpdate(at time.Duration, revision uint64)
@@ -199,13 +202,14 @@
 	}
 	s.nextReader++
 	requestedAt := s.config.Timer.SinceBoot()
+	// A configuration that was offered and could not be read is not known.
 	if response, ok := s.exchange(ctx, readers[s.nextReader%len(readers)]); ok && response.Age < requestedAt {
 		s.config.Store.RecordReaderUpdate(requestedAt-response.Age, s.declaredUpTo(&response))
 	}
 }
 
 // exchange sends the versions that this VM knows to another VM and accepts the newer data
-// of its response; false if it did not respond.
+// of its response; false if the VM did not respond, or offered data that could not be read.
 func (s *Service) exchange(ctx context.Context, vm catalog.VM) (peer.GossipResponse, bool) {
 	v := s.config.View
 	request := &peer.GossipRequest{
@@ -237,7 +241,7 @@
 		s.config.Store.RecordRunningPeer(response.KnowsPredecessor)
 	}
 	s.acceptEvacuations(&response, request.SentAt)
-	s.fetchTransfers(ctx, vm, &response)
+	complete := s.fetchTransfers(ctx, vm, &response)
 	if response.ConfigDelta != nil {
 		if newer, ok := response.ConfigDelta.Apply(v.Configuration()); ok {
 			v.AcceptConfiguration(newer, response.From.Name)
@@ -253,7 +257,10 @@
 		v.ConfirmEndpoints(response.EndpointsRevision)
 	}
 	s.acceptFleet(&response)
-	return response, true
+	if complete && response.ConfigVersion != 0 && v.Configuration() != nil && v.Configuration().Version >= response.ConfigVersion {
+		s.config.Store.RecordConfigurationRevision(s.declaredUpTo(&response))
+	}
+	return response, complete
 }
 
 // acceptFleet accepts the registrations of a response, or the changes to them. If the changes
@@ -300,6 +307,9 @@
 	}
 	s.addEvacuations(request, &response)
 	sameRegion := request.From.Region == v.Self().Region
+	if c := v.Configuration(); c != nil {
+		response.ConfigVersion = c.Version
+	}
 	if c := v.Configuration(); c != nil && c.Version > request.ConfigVersion {
 		delta, ok := v.ConfigurationSince(request.ConfigVersion)
 		switch {
--- a/engine/gossip/transfer.go
+++ b/engine/gossip/transfer.go
@@ -171,9 +171,9 @@
 	return peer.PartResponse{}
 }
 
-// fetchTransfers reads the snapshots that a response offers, and sets them in it. A snapshot that
-// cannot be read stays nil; a later exchange offers it again.
-func (s *Service) fetchTransfers(ctx context.Context, vm catalog.VM, response *peer.GossipResponse) {
+// fetchTransfers reads the snapshots that a response offers, sets them in it, and reports whether
+// all could be read. One that could not stays nil; a later exchange offers it again.
+func (s *Service) fetchTransfers(ctx context.Context, vm catalog.VM, response *peer.GossipResponse) bool {
 	if vms := fetch[catalog.VMSnapshot](ctx, s, vm, response.VMsTransfer); vms != nil {
 		vms.Revision = response.VMsRevision
 		response.VMs = vms
@@ -187,6 +187,10 @@
 	if delta := fetch[catalog.ConfigurationDelta](ctx, s, vm, response.ConfigDeltaTransfer); delta != nil {
 		response.ConfigDelta = delta
 	}
+	return (response.VMsTransfer == nil || response.VMs != nil) &&
+		(response.EndpointsTransfer == nil || response.Endpoints != nil) &&
+		(response.ConfigTransfer == nil || response.Config != nil) &&
+		(response.ConfigDeltaTransfer == nil || response.ConfigDelta != nil)
 }
 
 // fetch reads a snapshot from a VM; nil if there is none or it could not be read.
--- a/engine/peer/messages.go
+++ b/engine/peer/messages.go
@@ -220,7 +220,10 @@
 	// ConfigRevision is the store revision up to which the responding VM knows the
 	// configuration.
 	ConfigRevision uint64
-	Config         *catalog.Configuration
+	// ConfigVersion is the version of the responding VM's configuration; 0 if it has none, or if
+	// its build does not state it.
+	ConfigVersion uint64
+	Config        *catalog.Configuration
 	// ConfigDelta is set in place of Config if the responding VM still has the requesting
 	// VM's configuration.
 	ConfigDelta *catalog.ConfigurationDelta
--- a/engine/store/readers.go
+++ b/engine/store/readers.go
@@ -24,8 +24,10 @@
 	ranked []catalog.VM
 }
 
-// ranking returns the VMs of this VM's region in rank order, live or not. The order is
-// computed once for each change of the fleet.
+// ranking returns the VMs of this VM's region in rank order, live or not. VMs with a faster
+// link rank first more often: a reader receives whole configurations from the store, where they
+// are not compressed, and sends them to 30 VMs. The order is computed once for each change of the
+// fleet.
 func (s *Syncer) ranking() []catalog.VM {
 	v := s.config.View
 	vms := v.VMs()
@@ -33,13 +35,15 @@
 		return cached.ranked
 	}
 	var candidates []routing.VM
+	linkSpeeds := map[string]float64{}
 	for name, vm := range vms.ByName {
 		if vm.Region == v.Self().Region {
 			candidates = append(candidates, routing.VM{Name: name})
+			linkSpeeds[name] = vm.Size.LinkMbps
 		}
 	}
 	ranked := make([]catalog.VM, 0, len(candidates))
-	for _, r := range routing.Rank(LeaderKey, candidates) {
+	for _, r := range routing.RankWeighted(LeaderKey, candidates, linkSpeeds) {
 		ranked = append(ranked, vms.ByName[r.Name])
 	}
 	s.regionRanking.Store(&regionRanking{
@@ -121,6 +125,12 @@
 	}
 }
 
+// RecordConfigurationRevision records that this VM knows the configuration up to a revision of the
+// store, so that it need not read it whole before it watches for the next one.
+func (s *Syncer) RecordConfigurationRevision(revision uint64) {
+	storeMax(&s.configurationRevision, int64(revision))
+}
+
 // ConfigurationRevision returns the store revision up to which this VM knows the
 // configuration; 0 for none.
 func (s *Syncer) ConfigurationRevision() uint64 { return uint64(s.configurationRevision.Load()) }
