State why a statement was not served when its time ends in a pause, and remove a test's race

Cause: a statement that pauses between attempts at a primary and whose VM is slow for 60 ms can find its time limit reached at the next attempt. It was then refused as queueTimeout, as if it had never been sent, in place of the earlier attempts' reason; a test failed on that now and then.

Change: such a statement gets the refusal of the earlier attempts. The test waits until the other statement waits again.

--- a/engine/caller/dispatch.go
+++ b/engine/caller/dispatch.go
@@ -49,6 +49,8 @@
 	failure *refusal.Error
 	// failedReadRetried is set once the read was sent again after an error of the endpoint.
 	failedReadRetried bool
+	// paused is set once the statement has waited between two attempts.
+	paused bool
 	// overloads is the number of full endpoints after which the read was sent to another one.
 	overloads   int
 	lastRefusal *refusal.Error
@@ -108,6 +110,7 @@
 			if refused := d.waitForPrimary(ctx, changed); refused != nil {
 				return &peer.RunResponse{Refused: refused}
 			}
+			d.paused = true
 		}
 	}
 }
@@ -130,10 +133,7 @@
 	t := d.session.manager.config.Timer
 	maxWait := time.Duration(primaryWaitShare * float64(d.deadline.Sub(d.started)))
 	if t.Now().Sub(d.started) >= maxWait {
-		if d.lastRefusal != nil && d.lastRefusal.Outcome == refusal.NotRun {
-			return refusal.NewNotRun(refusal.NoPrimary, "no primary could serve the statement: "+d.lastRefusal.Message)
-		}
-		return refusal.NewNotRun(refusal.NoPrimary, "no primary of the database is known")
+		return d.noPrimaryRefusal()
 	}
 	pause := t.After(retryInterval)
 	defer pause.Stop()
@@ -146,6 +146,14 @@
 	return nil
 }
 
+// noPrimaryRefusal returns the refusal of a statement for which no primary could be used in time.
+func (d *dispatch) noPrimaryRefusal() *refusal.Error {
+	if d.lastRefusal != nil && d.lastRefusal.Outcome == refusal.NotRun {
+		return refusal.NewNotRun(refusal.NoPrimary, "no primary could serve the statement: "+d.lastRefusal.Message)
+	}
+	return refusal.NewNotRun(refusal.NoPrimary, "no primary of the database is known")
+}
+
 // remaining returns the time until the statement's deadline.
 func (d *dispatch) remaining() time.Duration {
 	return d.deadline.Sub(d.session.manager.config.Timer.Now())
@@ -336,10 +344,16 @@
 		}
 		return result
 	}
-	if lastResult == nil {
-		lastResult = &peer.RunResponse{Refused: refusal.NewNotRun(refusal.QueueTimeout, "the statement timed out before it could be sent")}
+	switch {
+	case lastResult != nil:
+		return lastResult
+	case d.paused:
+		// The time limit ended in a pause between two attempts, for example because this VM was
+		// slow. The earlier attempts tell why the statement was not served.
+		return &peer.RunResponse{Refused: d.noPrimaryRefusal()}
+	default:
+		return &peer.RunResponse{Refused: refusal.NewNotRun(refusal.QueueTimeout, "the statement timed out before it could be sent")}
 	}
-	return lastResult
 }
 
 // callHome runs a request at a home, which may be this VM.
--- a/engine/endpoint/urgency_test.go
+++ b/engine/endpoint/urgency_test.go
@@ -162,6 +162,9 @@
 				Eventually(clock.Subscribers).Should(Equal(2 - i))
 				clock.Advance(20 * time.Millisecond)
 				expectLast(next)
+				// A statement that has not checked again yet would take the next free connection
+				// without another wait.
+				Eventually(clock.Subscribers).Should(Equal(1 - i))
 			}
 			fake.holdReads <- struct{}{}
 			expectServed(<-results)
