--- a/decision/confsync/reading.go
+++ b/decision/confsync/reading.go
@@ -33,11 +33,11 @@
 	// VMs of a region read a large configuration from the store at once, none of them
 	// gets it in time, since they share the link between regions.
 	StartDelayPerVM = 50 * time.Millisecond
-	// MaxStartDelay is the longest time that a VM of a small region waits in this way, and
-	// MaxStartDelayPerVM that of a large one for each of its VMs. With 6 s, 145 of 150 VMs began to
-	// read 4 MB at the same time if the readers were slow, and none got it within the 10 s of a call.
-	// Meanwhile they request the configuration from VMs of other regions, compressed.
-	MaxStartDelay      = 6 * time.Second
+	// MaxStartDelay is the longest time that a VM of a small region waits in this way.
+	MaxStartDelay = 6 * time.Second
+	// MaxStartDelayPerVM is that time for each VM of a large region. With 6 s, 145 of 150 VMs began
+	// to read 4 MB at the same time if the readers were slow, and none got it within the 10 s of a
+	// call. Meanwhile they request the configuration from VMs of other regions, compressed.
 	MaxStartDelayPerVM = 200 * time.Millisecond
 	// MinUnknownFleetDelay is the shortest time for which a VM that has just started and does not
 	// know the fleet yet leaves the store to others. With 301 VMs and 3,600 routes, all VMs of a
