Count a configuration from other VMs as loaded once the store has confirmed it

Cause: since a reader that starts knows up to which revision of the store it has the configuration that another VM sent, and watches from there in place of reading it. A watch without a change did not count as a confirmation, so the VM was not ready until the start's time limit for the store was over, or until the next change.

Change: any response to a read or watch of the configuration confirms the one that this VM has.

Measured: the new test fails without the change (not confirmed within 1 s) and passes with it.

--- a/engine/store/configuration.go
+++ b/engine/store/configuration.go
@@ -128,6 +128,9 @@
 func (s *Syncer) acceptConfiguration(configuration *catalog.Configuration, revision uint64) {
 	if configuration != nil {
 		s.config.View.AcceptConfiguration(configuration, "store")
+	}
+	// Without a newer one, the store has confirmed the configuration that this VM got from others.
+	if s.config.View.Configuration() != nil {
 		s.configurationLoaded.Store(true)
 	}
 	storeMax(&s.configurationRevision, int64(revision))
--- a/engine/store/readers_test.go
+++ b/engine/store/readers_test.go
@@ -120,6 +120,18 @@
 		return newFixtureWith(timer.NewSystem(), func(_ *fixture, c *store.Config) { c.IsSeed = false })
 	}
 
+	It("does not read the configuration that another VM has sent, and has it confirmed by the store", func() {
+		// Guards against a read of the whole configuration by each reader that starts, and against
+		// a reader that is not ready until the next change.
+		f := newFixture()
+		f.joinFleet(0, "")
+		f.view.AcceptConfiguration(&catalog.Configuration{Version: 1}, "vm-0")
+		f.syncer.RecordConfigurationRevision(1)
+		go f.syncer.FollowConfiguration(f.ctx)
+		Eventually(f.syncer.ConfigurationLoaded).Should(BeTrue())
+		f.fake.set(func() { Expect(f.fake.configurationReads).To(BeZero()) })
+	})
+
 	It("leaves the configuration to others until it knows the fleet", func() {
 		// Guards against a region whose VMs all read a large configuration over the link between
 		// regions at once, so that none of them gets it.
