Use one mix of statement kinds in the benches of pools and of uneven endpoints

Cause: both benches had the same table type, mean and choice of a priority. Change: one type, kindMix, serves both.

--- a/loadtool/bench/poolrun.go
+++ b/loadtool/bench/poolrun.go
@@ -42,11 +42,7 @@
 	poolRetry = 15 * time.Millisecond
 )
 
-// poolKinds are the mean service times by priority and the parts of the statements.
-var poolKinds = []struct {
-	mean time.Duration
-	part float64
-}{
+var poolKinds = kindMix{
 	{mean: 8 * time.Millisecond, part: 0.5},
 	{mean: 24 * time.Millisecond, part: 0.3},
 	{mean: 40 * time.Millisecond, part: 0.2},
@@ -134,10 +130,7 @@
 func (r *poolRun) elapsed() time.Duration { return r.now.Sub(r.began) }
 
 func (r *poolRun) simulate(config Config) {
-	mean := 0.0
-	for _, k := range poolKinds {
-		mean += k.part * k.mean.Seconds()
-	}
+	mean := poolKinds.meanSeconds()
 	total := 0.0
 	weight := func(i int) float64 { return math.Pow(float64(i+3), -0.7) }
 	for i := range poolWorkspaces {
@@ -188,12 +181,7 @@
 }
 
 func (r *poolRun) arrive(workspace int) {
-	p := r.random.Float64()
-	priority := 0
-	for p >= poolKinds[priority].part && priority < len(poolKinds)-1 {
-		p -= poolKinds[priority].part
-		priority++
-	}
+	priority := poolKinds.priorityAt(r.random.Float64())
 	r.lastID++
 	r.sent++
 	s := &poolStatement{
--- a/loadtool/bench/unevenrun.go
+++ b/loadtool/bench/unevenrun.go
@@ -34,11 +34,7 @@
 	entryTimeWeight = 0.1
 )
 
-// unevenKinds are the mean service times by priority, and the parts of the statements.
-var unevenKinds = []struct {
-	mean time.Duration
-	part float64
-}{
+var unevenKinds = kindMix{
 	{mean: 8 * time.Millisecond, part: 0.6},
 	{mean: 24 * time.Millisecond, part: 0.3},
 	{mean: 40 * time.Millisecond, part: 0.1},
@@ -142,11 +138,7 @@
 }
 
 func (r *unevenRun) simulate(config Config) {
-	mean := 0.0
-	for _, k := range unevenKinds {
-		mean += k.part * k.mean.Seconds()
-	}
-	mean *= 1 + tailShare*(tailFactor-1)
+	mean := unevenKinds.meanSeconds() * (1 + tailShare*(tailFactor-1))
 	rate := unevenLoad * float64(slots*len(r.endpoints)) / mean
 	random := newRandom(config.Seed, 901)
 	r.poisson(random, rate, r.now.Add(config.Duration), func() {
@@ -155,9 +147,7 @@
 			entry:     r.entries[random.IntN(len(r.entries))],
 			arrivedAt: r.now,
 		}
-		for part := random.Float64(); part > unevenKinds[s.kind.Priority].part && s.kind.Priority < len(unevenKinds)-1; s.kind.Priority++ {
-			part -= unevenKinds[s.kind.Priority].part
-		}
+		s.kind.Priority = unevenKinds.priorityAt(random.Float64())
 		s.work = time.Duration((0.4 + 0.6*random.ExpFloat64()) * float64(unevenKinds[s.kind.Priority].mean))
 		if random.Float64() < tailShare {
 			s.work *= tailFactor
