Count established connections and request a status in one place, and sleep with the context

The wait before a retry at a busy endpoint was written without timer.Sleep, so that it outlasted a cancelled request.

Change: establishedConnections and pooledConnection.status serve both. A control command that runs at the same time no longer counts as established while the connections are counted, which can only lower the limit of a new home by one. The wait ends with its request.

--- a/engine/endpoint/control.go
+++ b/engine/endpoint/control.go
@@ -108,25 +108,24 @@
 	return needsMore
 }
 
-// established returns the number of open connections without those that are being opened.
-func (e *endpointClient) established() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.open - e.handshakes
-}
-
 // statusOnIdle returns the endpoint's report on an unused connection; nil if there is none or it fails.
 func (h *Home) statusOnIdle(client *endpointClient) *Report {
 	c := client.takeAnyIdle()
 	if c == nil {
 		return nil
 	}
-	replies, err := c.Run(ControlTimeout, []Command{Status{}})
+	report, err := c.status()
 	client.put(c, err == nil)
-	if err != nil {
-		return nil
+	return report
+}
+
+// status returns the endpoint's report; nil if it refuses the command.
+func (p *pooledConnection) status() (*Report, error) {
+	replies, err := p.Run(ControlTimeout, []Command{Status{}})
+	if err != nil || replies[0].Err != nil {
+		return nil, err
 	}
-	return replies[0].Report
+	return replies[0].Report, nil
 }
 
 // countConnections asks an endpoint how many connections it has, on an unused connection or else on a
@@ -136,7 +135,7 @@
 	if h.config.access(client.target) == evacuation.Closed {
 		return
 	}
-	askedAt, own := h.config.Timer.SinceBoot(), client.established()
+	askedAt, own := h.config.Timer.SinceBoot(), client.establishedConnections()
 	report := h.statusOnIdle(client)
 	if report == nil {
 		var err error
@@ -145,7 +144,7 @@
 		}
 	}
 	// Connections that were opened or closed meanwhile must not make the others seem fewer.
-	own = min(own, client.established())
+	own = min(own, client.establishedConnections())
 	counted := report.Connections
 	h.mu.Lock()
 	if tenure, ok := h.tenures[client.target.Key.ID]; ok {
--- a/engine/endpoint/rejections.go
+++ b/engine/endpoint/rejections.go
@@ -46,11 +46,12 @@
 	if e.queue.Running() > e.target.Slots {
 		return
 	}
+	now := e.config.Timer.SinceBoot()
 	e.rejections.pending = append(e.rejections.pending, rejection{
 		workspace: workspace,
-		at:        e.config.Timer.SinceBoot(),
+		at:        now,
 	})
-	e.rejections.dropOld(e.config.Timer.SinceBoot())
+	e.rejections.dropOld(now)
 }
 
 func (r *rejections) dropOld(now time.Duration) {
@@ -97,9 +98,9 @@
 // has no other connections than those of this home.
 func (e *endpointClient) checkRejections(c *pooledConnection) {
 	own := e.establishedConnections()
-	replies, err := c.Run(ControlTimeout, []Command{Status{}})
+	report, err := c.status()
 	own = min(own, e.establishedConnections())
-	alone := err == nil && replies[0].Err == nil && replies[0].Report != nil && replies[0].Report.Connections <= own
+	alone := err == nil && report != nil && report.Connections <= own
 	e.mu.Lock()
 	pending := e.rejections.pending
 	e.rejections.pending = nil
--- a/engine/endpoint/retry.go
+++ b/engine/endpoint/retry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthdock.dev/engine/peer"
+	"amaranthdock.dev/timer"
 )
 
 const (
@@ -88,8 +89,7 @@
 // waitBusy waits before another attempt at a busy endpoint, and reports whether there is still time
 // for it afterwards.
 func (a *attempts) waitBusy(ctx context.Context, delay time.Duration) bool {
-	<-a.home.config.Timer.After(delay).C()
-	if ctx.Err() != nil || a.isLate() {
+	if err := timer.Sleep(ctx, a.home.config.Timer, delay); err != nil || a.isLate() {
 		return false
 	}
 	a.home.config.Metrics.busyRetries.Inc(1)
