Join the twins that open accounts of memory and that record progress

Cause: OpenRequest and OpenResponse differed in one call, and the reader and the writer of a request's progress counted bytes in the same way. Change: one openHolding, and one progressCounter. Measured: the tests of engine/budget, engine/peer, proxy/reqmem, proxy/caller and platform/consumer pass.

--- a/engine/budget/budget.go
+++ b/engine/budget/budget.go
@@ -135,15 +135,7 @@
 // OpenRequest returns an account for the body of a request, whose function end ends the request if
 // others need its memory; nil if it is not ended.
 func (b *Budget) OpenRequest(group string, end func()) *Account {
-	if b == nil {
-		return nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	a := b.add(0, end)
-	a.group = group
-	b.memory.Add(a.id, group)
-	return a
+	return b.openHolding(group, end, false)
 }
 
 // OpenAnswers returns an account for answers of endpoints.
@@ -152,14 +144,22 @@
 // OpenResponse returns an account for the answer of an endpoint and the response with it, whose
 // function end ends the request if others need its memory; nil if it is not ended.
 func (b *Budget) OpenResponse(group string, end func()) *Account {
+	return b.openHolding(group, end, true)
+}
+
+func (b *Budget) openHolding(group string, end func(), answers bool) *Account {
 	if b == nil {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.add(0, end)
-	a.group, a.answers = group, true
-	b.memory.AddAnswers(a.id, group)
+	a.group, a.answers = group, answers
+	if answers {
+		b.memory.AddAnswers(a.id, group)
+	} else {
+		b.memory.Add(a.id, group)
+	}
 	return a
 }
 
--- a/proxy/reqmem/stream.go
+++ b/proxy/reqmem/stream.go
@@ -18,26 +18,35 @@
 		return body
 	}
 	return &progressReader{
-		Reader:  body,
-		request: r,
+		Reader:          body,
+		progressCounter: progressCounter{request: r},
+	}
+}
+
+// progressCounter records the progress of a request by the bytes that it moves.
+type progressCounter struct {
+	request *Request
+	// pending is the number of bytes since the last progress.
+	pending int
+}
+
+func (p *progressCounter) add(n int) {
+	if p.pending += n; p.pending >= progressBytes {
+		p.pending = 0
+		p.request.progress()
 	}
 }
 
 // progressReader records the progress of a body.
 type progressReader struct {
 	io.Reader
-	request *Request
-	// received counts the bytes since the last progress.
-	received int
+	progressCounter
 }
 
 // Read implements io.Reader.
 func (p *progressReader) Read(data []byte) (int, error) {
 	n, err := p.Reader.Read(data)
-	if p.received += n; p.received >= progressBytes {
-		p.received = 0
-		p.request.progress()
-	}
+	p.add(n)
 	return n, err
 }
 
@@ -47,8 +56,8 @@
 		return response
 	}
 	return &progressWriter{
-		ResponseWriter: response,
-		request:        r,
+		ResponseWriter:  response,
+		progressCounter: progressCounter{request: r},
 	}
 }
 
@@ -56,9 +65,7 @@
 // so that a write waits for a caller that does not read.
 type progressWriter struct {
 	http.ResponseWriter
-	request *Request
-	// sent counts the bytes since the last progress.
-	sent int
+	progressCounter
 }
 
 // Write implements io.Writer.
@@ -69,13 +76,10 @@
 	defer p.request.endSending()
 	written := 0
 	for written < len(data) {
-		next := min(written+progressBytes-p.sent, len(data))
+		next := min(written+progressBytes-p.pending, len(data))
 		n, err := p.ResponseWriter.Write(data[written:next])
 		written += n
-		if p.sent += n; p.sent >= progressBytes {
-			p.sent = 0
-			p.request.progress()
-		}
+		p.add(n)
 		if err != nil {
 			return written, err
 		}
