Share the fixtures that tests of one package had written twice

Cause: tests of failover, scheduling, the operator service and misbehaving callers built the same configuration, leader's key, peers, order check, handler and request in several places. No assertion changes. Measured: the tests of engine/failover, decision/scheduling, proxy/operator and loadtool/faults/callers pass.

--- a/decision/scheduling/priority_test.go
+++ b/decision/scheduling/priority_test.go
@@ -35,24 +35,11 @@
 		})
 	}
 
-	// expectOrder checks the order in which items run. It guards against urgent
-	// statements that wait behind less urgent ones.
-	expectOrder := func(ids ...uint64) {
-		GinkgoHelper()
-		for _, id := range ids {
-			run, ok := f.Next(f.now).(scheduling.Run)
-			Expect(ok).To(BeTrue())
-			Expect(run.Item.ID).To(Equal(id))
-			f.now = f.now.Add(service)
-			f.Complete(f.now, id)
-		}
-	}
-
 	It("orders the statements of one workspace by priority, then by arrival", func() {
 		for _, priority := range []int{lessUrgent, urgent, lessUrgent, urgent} {
 			arrive("w", priority, time.Hour)
 		}
-		expectOrder(2, 4, 1, 3)
+		f.expectOrder(2, 4, 1, 3)
 	})
 
 	It("gives no precedence over another workspace", func() {
@@ -60,7 +47,7 @@
 		arrive("a", lessUrgent, time.Hour)
 		arrive("b", urgent, time.Hour)
 		arrive("b", urgent, time.Hour)
-		expectOrder(1, 3, 2, 4)
+		f.expectOrder(1, 3, 2, 4)
 	})
 
 	// Reads fill the queue of a primary, for example, while the replicas of its database
@@ -82,7 +69,7 @@
 		arrive("w", lessUrgent, 3*service)
 		arrive("w", urgent, time.Hour)
 		arrive("w", urgent, time.Hour)
-		expectOrder(2, 3)
+		f.expectOrder(2, 3)
 		expired, ok := f.Next(f.now.Add(service)).(scheduling.Expired)
 		Expect(ok).To(BeTrue())
 		Expect(expired.Item.ID).To(Equal(uint64(1)))
--- a/decision/scheduling/queue_test.go
+++ b/decision/scheduling/queue_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// expectOrder runs items one after another and checks their order. It guards against urgent
+// statements that wait behind less urgent ones.
+func (f *fixture) expectOrder(ids ...uint64) {
+	GinkgoHelper()
+	for _, id := range ids {
+		run, ok := f.Next(f.now).(scheduling.Run)
+		Expect(ok).To(BeTrue())
+		Expect(run.Item.ID).To(Equal(id))
+		f.now = f.now.Add(service)
+		f.Complete(f.now, id)
+	}
+}
+
 func (f *fixture) arrive(subject string, weight int, timeout time.Duration, transaction bool) scheduling.Decision {
 	f.next++
 	return f.Enqueue(f.now, scheduling.Item{
--- a/decision/scheduling/urgency_test.go
+++ b/decision/scheduling/urgency_test.go
@@ -128,31 +128,20 @@
 		return f.Enqueue(f.now, item)
 	}
 
-	expectRuns := func(ids ...uint64) {
-		GinkgoHelper()
-		for _, id := range ids {
-			run, ok := f.Next(f.now).(scheduling.Run)
-			Expect(ok).To(BeTrue())
-			Expect(run.Item.ID).To(Equal(id))
-			f.now = f.now.Add(service)
-			f.Complete(f.now, id)
-		}
-	}
-
 	It("orders the statements of all workspaces by priority", func() {
 		// Guards against urgent statements of one workspace behind less urgent ones of another.
 		arrive("a", 2, time.Second, time.Second)
 		arrive("a", 2, time.Second, time.Second)
 		arrive("b", 0, time.Second, time.Second)
 		arrive("c", 1, time.Second, time.Second)
-		expectRuns(3, 4, 1, 2)
+		f.expectOrder(3, 4, 1, 2)
 	})
 
 	It("serves statements that have missed their target after those that can meet it", func() {
 		// Guards against a late statement that makes others late, too.
 		arrive("a", 0, -time.Millisecond, time.Second)
 		arrive("b", 2, time.Second, time.Second)
-		expectRuns(2, 1)
+		f.expectOrder(2, 1)
 	})
 
 	It("lets an urgent statement that can wait yield to one that would miss its target", func() {
@@ -161,7 +150,7 @@
 		arrive("b", 0, time.Second, time.Second)
 		arrive("b", 0, time.Second, time.Second)
 		f.now = f.now.Add(service)
-		expectRuns(1, 2, 3)
+		f.expectOrder(1, 2, 3)
 	})
 
 	It("starts a statement that has waited for half of its time limit, within a fifth of the service", func() {
--- a/engine/failover/failing_test.go
+++ b/engine/failover/failing_test.go
@@ -41,11 +41,7 @@
 				"c": true,
 			}
 		})
-		for _, p := range f.peers {
-			p.mu.Lock()
-			p.reachesPrimary = true
-			p.mu.Unlock()
-		}
+		f.letPeersReachPrimary()
 		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 		Consistently(report).WithTimeout(2 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 	})
@@ -66,11 +62,7 @@
 				return id == "a" && statusRequests%2 == 0
 			}
 		})
-		for _, p := range f.peers {
-			p.mu.Lock()
-			p.reachesPrimary = true
-			p.mu.Unlock()
-		}
+		f.letPeersReachPrimary()
 		Eventually(report).WithTimeout(8 * time.Second).WithPolling(50 * time.Millisecond).Should(HaveLen(1))
 	})
 
@@ -131,11 +123,7 @@
 				"c": true,
 			}
 		})
-		for _, p := range f.peers {
-			p.mu.Lock()
-			p.reachesPrimary = true
-			p.mu.Unlock()
-		}
+		f.letPeersReachPrimary()
 		Consistently(report).WithTimeout(time.Second).WithPolling(50 * time.Millisecond).Should(BeEmpty())
 		f.database.update(func() { f.database.received["b"] = 500 })
 		Eventually(report).WithTimeout(4 * time.Second).WithPolling(50 * time.Millisecond).Should(Equal([]string{"b"}))
--- a/engine/failover/failover_test.go
+++ b/engine/failover/failover_test.go
@@ -297,13 +297,7 @@
 
 	// A replica that does not respond may be the only one that confirmed the last commit.
 	It("with a synchronous replica is replaced only after all replicas have responded", func() {
-		f.view.AcceptConfiguration(&catalog.Configuration{
-			Version: 2,
-			Databases: map[string]catalog.Database{"db": {
-				Name:         "db",
-				SyncReplicas: 1,
-			}},
-		}, "test")
+		f.requireSyncReplica()
 		f.database.update(func() {
 			f.database.unreachable["a"] = true
 			f.database.unreachable["c"] = true
@@ -353,14 +347,7 @@
 	It("gives no fencing token after another VM has written the leader's key", func() {
 		// Guards against a promotion by a former leader.
 		f := newFixture()
-		f.store.mu.Lock()
-		f.store.revision++
-		f.store.items[store.LeaderKey] = store.Item{
-			Key:      store.LeaderKey,
-			Value:    []byte("other0"),
-			Revision: f.store.revision,
-		}
-		f.store.mu.Unlock()
+		f.succeedLeader()
 		f.database.update(func() { f.database.unreachable["a"] = true })
 		f.expectNoPromotion()
 	})
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -233,3 +233,24 @@
 	delete(f.items, store.LeaderKey)
 	return nil
 }
+
+// succeedLeader lets another VM write the leader's key, of which this VM learns only when it writes.
+func (f *fixture) succeedLeader() {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.revision++
+	f.store.items[store.LeaderKey] = store.Item{
+		Key:      store.LeaderKey,
+		Value:    []byte("other0"),
+		Revision: f.store.revision,
+	}
+}
+
+// letPeersReachPrimary lets the other VMs report that they reach the primary.
+func (f *fixture) letPeersReachPrimary() {
+	for _, p := range f.peers {
+		p.mu.Lock()
+		p.reachesPrimary = true
+		p.mu.Unlock()
+	}
+}
--- a/engine/failover/intent_test.go
+++ b/engine/failover/intent_test.go
@@ -269,11 +269,7 @@
 
 	BeforeEach(func() {
 		f = newFixture()
-		for _, p := range f.peers {
-			p.mu.Lock()
-			p.reachesPrimary = true
-			p.mu.Unlock()
-		}
+		f.letPeersReachPrimary()
 		f.database.update(func() { f.database.received["b"] = 50 })
 	})
 
@@ -296,14 +292,7 @@
 
 	It("is not told to step down by a leader that was succeeded", func() {
 		// Guards against a step down whose intent the next leader does not know.
-		f.store.mu.Lock()
-		f.store.revision++
-		f.store.items[store.LeaderKey] = store.Item{
-			Key:      store.LeaderKey,
-			Value:    []byte("other0"),
-			Revision: f.store.revision,
-		}
-		f.store.mu.Unlock()
+		f.succeedLeader()
 		f.drain()
 		Consistently(func() string {
 			f.database.mu.Lock()
--- a/loadtool/faults/callers/callers_test.go
+++ b/loadtool/faults/callers/callers_test.go
@@ -223,14 +223,7 @@
 		transport := d.transport()
 		for range streams {
 			requests.Go(func() {
-				request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.baseURL+method, body())
-				if err != nil {
-					return
-				}
-				request.Header.Set("Content-Type", "application/proto")
-				request.Header.Set("Connect-Protocol-Version", "1")
-				request.Header.Set("Authorization", "Bearer "+d.key)
-				response, err := transport.RoundTrip(request)
+				response, err := d.post(ctx, transport, method, body())
 				if err != nil {
 					return
 				}
@@ -246,6 +239,18 @@
 	requests.Wait()
 }
 
+// post sends a request as a caller of the crowds' workspace.
+func (d *deployment) post(ctx context.Context, transport *http.Transport, method string, body io.Reader) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.baseURL+method, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/proto")
+	request.Header.Set("Connect-Protocol-Version", "1")
+	request.Header.Set("Authorization", "Bearer "+d.key)
+	return transport.RoundTrip(request)
+}
+
 // message returns an encoded request with a command and arguments.
 func (d *deployment) message(access callerv1.Access, command string, arguments ...string) []byte {
 	GinkgoHelper()
--- a/loadtool/faults/callers/stalled_test.go
+++ b/loadtool/faults/callers/stalled_test.go
@@ -59,14 +59,7 @@
 	defer body.Close()
 	// The library's client for HTTP/1 waits for a body although its request has ended.
 	defer context.AfterFunc(ctx, func() { _ = body.Close() })()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.baseURL+callerv1connect.CallerServiceExecuteProcedure, body)
-	if err != nil {
-		return
-	}
-	request.Header.Set("Content-Type", "application/proto")
-	request.Header.Set("Connect-Protocol-Version", "1")
-	request.Header.Set("Authorization", "Bearer "+d.key)
-	response, err := transport.RoundTrip(request)
+	response, err := d.post(ctx, transport, callerv1connect.CallerServiceExecuteProcedure, body)
 	if err != nil {
 		pause(ctx)
 		return
--- a/proxy/operator/explain_test.go
+++ b/proxy/operator/explain_test.go
@@ -3,19 +3,15 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
 	operatorv1 "amaranthdock.dev/api/amaranthdock/operator/v1"
-	"amaranthdock.dev/api/amaranthdock/peer/v1/peerv1connect"
 	"amaranthdock.dev/decision/refusal"
 	"amaranthdock.dev/proxy/operator"
 	"amaranthdock.dev/timer"
@@ -25,22 +21,9 @@
 	return &operatorv1.ExplainRouteResponse{Vm: "vm-1"}, f.explainErr
 }
 
-func newHandler(fleet *fakeFleet) *operator.Operator {
+func newExplainHandler(fleet *fakeFleet) *operator.Operator {
 	GinkgoHelper()
-	handler, err := operator.New(operator.Config{
-		Timer:         timer.NewManual(timer.ManualConfig{}),
-		Logger:        logr.Discard(),
-		Registry:      metrics.NewRegistry(),
-		Store:         &fakeStore{},
-		Directory:     fleet,
-		Configuration: fleet,
-		Observer:      fleet,
-		Dumps:         fleet,
-		Explainer:     fleet,
-		Dial:          func(netip.AddrPort) peerv1connect.PeerServiceClient { return fakePeer{} },
-	})
-	Expect(err).NotTo(HaveOccurred())
-	return handler
+	return newHandler(timer.NewManual(timer.ManualConfig{}), &fakeStore{}, fleet)
 }
 
 // fieldOf returns the field that an error's Refusal detail names.
@@ -70,7 +53,7 @@
 		func(change func(*operatorv1.ExplainRouteRequest), err error, code connect.Code, field string) {
 			request := valid()
 			change(request)
-			_, failed := newHandler(&fakeFleet{explainErr: err}).ExplainRoute(context.Background(), request)
+			_, failed := newExplainHandler(&fakeFleet{explainErr: err}).ExplainRoute(context.Background(), request)
 			Expect(connect.CodeOf(failed)).To(Equal(code))
 			Expect(fieldOf(failed)).To(Equal(field))
 		},
@@ -84,7 +67,7 @@
 	)
 
 	It("adds the age of the configuration", func() {
-		response, err := newHandler(&fakeFleet{}).ExplainRoute(context.Background(), valid())
+		response, err := newExplainHandler(&fakeFleet{}).ExplainRoute(context.Background(), valid())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.GetAuthorityAge().AsDuration()).To(Equal(time.Second))
 	})
--- a/proxy/operator/operator_test.go
+++ b/proxy/operator/operator_test.go
@@ -136,6 +136,24 @@
 	return &peerv1.FetchConfigurationResponse{Version: r.GetNewerThan()}, nil
 }
 
+func newHandler(clock *timer.Manual, store *fakeStore, fleet *fakeFleet) *operator.Operator {
+	GinkgoHelper()
+	handler, err := operator.New(operator.Config{
+		Timer:         clock,
+		Logger:        logr.Discard(),
+		Registry:      metrics.NewRegistry(),
+		Store:         store,
+		Directory:     fleet,
+		Configuration: fleet,
+		Observer:      fleet,
+		Dumps:         fleet,
+		Explainer:     fleet,
+		Dial:          func(netip.AddrPort) peerv1connect.PeerServiceClient { return fakePeer{} },
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return handler
+}
+
 var _ = Describe("Operator", func() {
 	var (
 		clock    *timer.Manual
@@ -155,19 +173,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		document, err = json.Marshal(parsed)
 		Expect(err).NotTo(HaveOccurred())
-		handler, err = operator.New(operator.Config{
-			Timer:         clock,
-			Logger:        logr.Discard(),
-			Registry:      metrics.NewRegistry(),
-			Store:         store,
-			Directory:     fleet,
-			Configuration: fleet,
-			Observer:      fleet,
-			Dumps:         fleet,
-			Explainer:     fleet,
-			Dial:          func(netip.AddrPort) peerv1connect.PeerServiceClient { return fakePeer{} },
-		})
-		Expect(err).NotTo(HaveOccurred())
+		handler = newHandler(clock, store, fleet)
 	})
 
 	// change calls ChangeConfiguration and advances the clock until the call ends.
