--- a/loadtool/faults/callers/callers_test.go
+++ b/loadtool/faults/callers/callers_test.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +21,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/procfs"
 	"google.golang.org/protobuf/proto"
 
 	callerv1 "amaranthdock.dev/api/amaranthdock/caller/v1"
@@ -184,20 +184,24 @@
 // peakMiB returns the peak of the resident memory of the VM.
 func (d *deployment) peakMiB() int {
 	GinkgoHelper()
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.vm.PID()))
+	status, err := d.process().NewStatus()
 	Expect(err).NotTo(HaveOccurred())
-	_, rest, ok := strings.Cut(string(content), "VmHWM:")
-	Expect(ok).To(BeTrue())
-	value, err := strconv.Atoi(strings.Fields(rest)[0])
-	Expect(err).NotTo(HaveOccurred())
-	return value / 1024
+	Expect(status.VmHWM).NotTo(BeZero())
+	return int(status.VmHWM >> 20)
 }
 
 func (d *deployment) descriptors() int {
 	GinkgoHelper()
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.vm.PID()))
+	descriptors, err := d.process().FileDescriptorsLen()
+	Expect(err).NotTo(HaveOccurred())
+	return descriptors
+}
+
+func (d *deployment) process() procfs.Proc {
+	GinkgoHelper()
+	process, err := procfs.NewProc(d.vm.PID())
 	Expect(err).NotTo(HaveOccurred())
-	return len(entries)
+	return process
 }
 
 // transport returns the HTTP/2 transport of one connection of a crowd.
