Count the progress of callers with one counter on both interfaces

Cause: the line protocol and the own interface each had the threshold and the counter of the bytes that count as a caller's progress, the latter just joined for its two directions. Change: budget.ProgressCounter serves all three.

--- a/proxy/reqmem/stream.go
+++ b/proxy/reqmem/stream.go
@@ -5,10 +5,9 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
-)
 
-// progressBytes is what a caller has to send or to read until it counts as progress.
-const progressBytes = 16 << 10
+	"amaranthdock.dev/engine/budget"
+)
 
 var errEnded = eris.New("the request was ended, because others need its memory")
 
@@ -18,35 +17,24 @@
 		return body
 	}
 	return &progressReader{
-		Reader:          body,
-		progressCounter: progressCounter{request: r},
-	}
-}
-
-// progressCounter records the progress of a request by the bytes that it moves.
-type progressCounter struct {
-	request *Request
-	// pending is the number of bytes since the last progress.
-	pending int
-}
-
-func (p *progressCounter) add(n int) {
-	if p.pending += n; p.pending >= progressBytes {
-		p.pending = 0
-		p.request.progress()
+		Reader:  body,
+		request: r,
 	}
 }
 
 // progressReader records the progress of a body.
 type progressReader struct {
 	io.Reader
-	progressCounter
+	request  *Request
+	received budget.ProgressCounter
 }
 
 // Read implements io.Reader.
 func (p *progressReader) Read(data []byte) (int, error) {
 	n, err := p.Reader.Read(data)
-	p.add(n)
+	if p.received.Add(n) {
+		p.request.progress()
+	}
 	return n, err
 }
 
@@ -56,8 +44,8 @@
 		return response
 	}
 	return &progressWriter{
-		ResponseWriter:  response,
-		progressCounter: progressCounter{request: r},
+		ResponseWriter: response,
+		request:        r,
 	}
 }
 
@@ -65,7 +53,8 @@
 // so that a write waits for a caller that does not read.
 type progressWriter struct {
 	http.ResponseWriter
-	progressCounter
+	request *Request
+	sent    budget.ProgressCounter
 }
 
 // Write implements io.Writer.
@@ -76,10 +65,12 @@
 	defer p.request.endSending()
 	written := 0
 	for written < len(data) {
-		next := min(written+progressBytes-p.pending, len(data))
+		next := min(written+p.sent.Left(), len(data))
 		n, err := p.ResponseWriter.Write(data[written:next])
 		written += n
-		p.add(n)
+		if p.sent.Add(n) {
+			p.request.progress()
+		}
 		if err != nil {
 			return written, err
 		}
