--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -50,9 +50,10 @@
 // configuration returns a configuration with three routes for each group.
 func configuration(version int, groups []*group, tenants []tenant) map[string]any {
 	routes, services, owners := []map[string]any{}, []map[string]any{}, []map[string]any{}
+	timeouts := map[string]int{"primary": 1000, "bounded_staleness": lookupTimeout, "read_your_writes": 1000}
 	for _, g := range groups {
 		services = append(services, map[string]any{"name": g.name, "health_path": "/health", "max_connections": maxConns, "sync_replicas": g.sync})
-		for kind, timeout := range map[string]int{"primary": 1000, "bounded_staleness": 3000, "read_your_writes": 1000} {
+		for kind, timeout := range timeouts {
 			routes = append(routes, map[string]any{"name": "r-" + g.name + "-" + kind, "host": g.name + "-" + kind, "prefix": "/", "route_type": kind, "timeout_ms": timeout,
 				"target_latency_ms": 800, "priority": 1, "service": g.name, "max_attempts": 2, "max_staleness_ms": 1500, "public": false})
 		}
@@ -63,6 +64,9 @@
 	return map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 3000}, "tenants": owners}
 }
 
+// lookupTimeout is the timeout_ms of the bounded routes.
+const lookupTimeout = 4000
+
 // deployment is what the cases share.
 type deployment struct {
 	store  *store
