Remove what only trials used from the stand-ins of the second review

Stale reads of the store, and fields that no case checks, were left from trial code. The usage line names the arguments as they are.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -91,7 +91,6 @@
 		cl.groups[g.name] = g
 	}
 	st.write("op/config", configuration(7, groups, tenants))
-	time.Sleep(st.staleLag)
 	d.fleet = newFleet(dir, program, regions, vmZones, st, cl)
 	*running = d.fleet
 	for _, v := range d.fleet.vms {
@@ -179,7 +178,7 @@
 		}
 		return 0
 	}
-	st := newStore(0)
+	st := newStore()
 	g := newGroup("ledger", st, 1, networkDelay, "east-a", "east-b", "west-a")
 	tenants := []tenant{{
 		name:  "farm",
@@ -289,7 +288,7 @@
 // drainWithoutSuccessor: the only replica is lost for good, and later the primary reports draining
 // before its planned shutdown, while transactions wait for a connection.
 func drainWithoutSuccessor(program, dir string, running **fleet) int {
-	st := newStore(0)
+	st := newStore()
 	g := newGroup("ledger", st, 0, networkDelay, "east-a", "east-b")
 	tenants := []tenant{{
 		name:  "farm",
@@ -321,7 +320,7 @@
 // restarts: all processes are killed at the same moment, three times within five seconds, while one
 // tenant asks for more than its limit. The platform starts each process again after half a second.
 func restarts(program, dir string, running **fleet) int {
-	st := newStore(0)
+	st := newStore()
 	g := newGroup("ledger", st, 0, networkDelay, "east-a", "east-b", "west-a")
 	hot := tenant{
 		name:  "farm",
@@ -466,7 +465,7 @@
 // settingsChange: the platform moves its store to another address, writes that into the settings files
 // and sends SIGHUP to a part of the processes. Later the operator withdraws a key.
 func settingsChange(program, dir string, running **fleet) int {
-	st := newStore(0)
+	st := newStore()
 	g := newGroup("ledger", st, 0, networkDelay, "east-a", "east-b", "west-a")
 	keep := tenant{
 		name:  "farm",
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -23,9 +23,6 @@
 	code        string // OK, an error code, or CUT
 	mac         string
 	rows        []string
-	values      string
-	shape       string
-	write       bool
 }
 
 // recorder collects what consumers saw.
@@ -52,7 +49,6 @@
 	reader    *bufio.Reader
 	tx        int
 	began     time.Time
-	values    map[string]string
 }
 
 // dial opens a session; nil if that fails.
@@ -68,7 +64,6 @@
 		key:    key,
 		conn:   conn,
 		reader: bufio.NewReader(conn),
-		values: map[string]string{},
 	}
 	rec.mu.Lock()
 	rec.sessions++
@@ -100,7 +95,6 @@
 		key:     c.key,
 		vm:      c.vm.name,
 		sent:    time.Now(),
-		values:  fmt.Sprint(c.values),
 	}
 	if strings.HasPrefix(text, "BEGIN") {
 		c.rec.mu.Lock()
@@ -147,5 +141,3 @@
 	c.rec.add(a)
 	return a
 }
-
-var promises = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "WRONGNODE": true, "TOOMANY": true}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -1,10 +1,10 @@
 // Command rig2 plays one case of the second review against processes of the system, with stand-ins of
 // the platform's store, its promotion service, the members and the consumers.
 //
-//	rig2 CASE --program FILE --record FILE
+//	rig2 CASE PROGRAM RECORD
 //
 // TROUBLE=0 plays the case without its disruption. It exits with 1 if the rule was broken, 0 if it
-// held, and 2 if the case could not run.
+// held, and 2 if the case could not run. With KEEP=1 the settings and logs of the processes stay.
 package main
 
 import (
--- a/review/rig2/member.go
+++ b/review/rig2/member.go
@@ -44,13 +44,8 @@
 	request     string
 	text        string
 	tenant      string
-	read        bool
 	transaction int
 	connection  int
-	values      string
-	shape       string
-	// seen is the last commit in the log on which a read ran; nil for none.
-	seen *commit
 	// arrived is when the request reached the member.
 	arrived time.Time
 }
@@ -71,7 +66,6 @@
 	log        []*commit
 	all        []*commit
 	executions []*execution
-	macs       map[string]string
 	arrivals   []arrival
 	promotions []promotion
 	lastConn   int
@@ -119,7 +113,6 @@
 		store: st,
 		delay: delay,
 		term:  firstTerm,
-		macs:  map[string]string{},
 		work:  4 * time.Millisecond,
 	}
 	first := &commit{
@@ -512,10 +505,9 @@
 	if id != "-" && (s.state == "I" || s.first) {
 		s.first = false
 		g.arrivals = append(g.arrivals, arrival{
-			at:       arrived,
-			member:   m.id,
-			request:  id,
-			draining: m.draining,
+			at:      arrived,
+			member:  m.id,
+			request: id,
 		})
 	}
 	if !m.up {
@@ -649,11 +641,8 @@
 		request:     id,
 		text:        text,
 		tenant:      s.tenant,
-		read:        access == "READ",
 		transaction: s.transaction,
 		connection:  s.number,
-		values:      fmt.Sprint(s.values),
-		shape:       shape,
 	}
 	g.executions = append(g.executions, e)
 	mac := fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
@@ -662,7 +651,6 @@
 	switch {
 	case access == "READ":
 		_, applied := m.counts()
-		e.seen = g.log[applied-1]
 		value := ""
 		for i := len(s.pending) - 1; i >= 0 && value == ""; i-- {
 			if s.pending[i].item == words[1] {
@@ -694,7 +682,6 @@
 		}
 		s.state, s.pending, s.transaction = "I", nil, 0
 	}
-	g.macs[mac] = id + "\n" + rows
 	g.mu.Unlock()
 	if c != nil && !g.awaitSync(c) {
 		return "", false
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -39,20 +39,13 @@
 
 // store is a stand-in of the platform's metadata store.
 type store struct {
-	// staleLag is the age of the data that reads with stale_ok return.
-	staleLag time.Duration
-
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]item
 	events   []event
-	// stale is the state after the first staleNext events.
-	stale         map[string]item
-	staleNext     int
-	staleRevision uint64
-	leases        map[uint64]*lease
-	changed       chan struct{}
-	servers       []*http.Server
+	leases   map[uint64]*lease
+	changed  chan struct{}
+	servers  []*http.Server
 	// addresses are the addresses of the store by the region of the caller: calls from another region
 	// take longer.
 	addresses map[string]string
@@ -61,16 +54,13 @@
 // storeRegion is the region in which the store stands.
 const storeRegion = "east"
 
-func newStore(staleLag time.Duration) *store {
+func newStore() *store {
 	s := &store{
-		staleLag: staleLag,
 		revision: 100,
 		items:    map[string]item{},
-		stale:    map[string]item{},
 		leases:   map[uint64]*lease{},
 		changed:  make(chan struct{}),
 	}
-	s.staleRevision = s.revision
 	s.listen()
 	go func() {
 		for {
@@ -193,25 +183,6 @@
 	s.notify()
 }
 
-// staleState returns the state of staleLag ago.
-func (s *store) staleState() (map[string]item, uint64) {
-	if s.staleLag == 0 {
-		return s.items, s.revision
-	}
-	until := time.Now().Add(-s.staleLag)
-	for s.staleNext < len(s.events) && !s.events[s.staleNext].at.After(until) {
-		e := s.events[s.staleNext]
-		if e.Deleted {
-			delete(s.stale, e.Key)
-		} else {
-			s.stale[e.Key] = e.item
-		}
-		s.staleRevision = e.Revision
-		s.staleNext++
-	}
-	return s.stale, s.staleRevision
-}
-
 // ServeHTTP serves a call of a process.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -230,18 +201,14 @@
 			StoreRevision uint64 `json:"store_revision"`
 		}{i, s.revision})
 	case path == "/amaranthdock/kv-range":
-		items, revision := s.items, s.revision
-		if query.Get("stale_ok") == "1" {
-			items, revision = s.staleState()
-		}
 		found := []item{}
-		for key, i := range items {
+		for key, i := range s.items {
 			if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
 				found = append(found, i)
 			}
 		}
 		slices.SortFunc(found, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-		reply(w, 200, map[string]any{"items": found[:min(len(found), pageSize)], "more_pages": len(found) > pageSize, "store_revision": revision})
+		reply(w, 200, map[string]any{"items": found[:min(len(found), pageSize)], "more_pages": len(found) > pageSize, "store_revision": s.revision})
 	case path == "/amaranthdock/kv-watch":
 		s.watch(w, r)
 	case path == "/amaranthdock/kv-txn":
