Read the log positions again before a promotion with synchronous replicas

Cause: the successor of a lost primary was chosen by positions that were read before the fencing token was reserved and before the VMs were told to send no writes. If the store is slow or the leader is suspended in between, the primary may return and acknowledge commits that the successor lacks.

Change: with synchronous replicas the positions are read once more after the announcement. The promotion is requested only if the same endpoint is still to succeed; otherwise the endpoints are asked as after a request without a response. The promotion moved to a file of its own.

--- a/engine/failover/confirm_test.go
+++ b/engine/failover/confirm_test.go
@@ -121,3 +121,36 @@
 		f.expectPromotion("c")
 	})
 })
+
+var _ = Describe("a primary with a synchronous replica that returns before its successor is promoted", func() {
+	// returnWhile makes the primary unreachable until the leader reads the last fencing token.
+	returnWhile := func(changed func(f *fixture)) *fixture {
+		f := newFixture()
+		f.requireSyncReplica()
+		f.store.onGet = func(string) {
+			f.database.update(func() { changed(f) })
+		}
+		f.database.update(func() { f.database.unreachable["a"] = true })
+		Eventually(func() []string {
+			f.suspectPrimary()
+			return f.database.requestedPromotions()
+		}).WithTimeout(6 * time.Second).ShouldNot(BeEmpty())
+		return f
+	}
+
+	It("stays", func() {
+		// Guards against the loss of commits that it acknowledges while the store is slow or the leader is
+		// suspended, after the leader has read how much the others have received.
+		f := returnWhile(func(f *fixture) {
+			f.database.unreachable["a"] = false
+			f.database.received["a"], f.database.received["b"] = 60, 60
+		})
+		Expect(f.database.requestedPromotions()).To(Equal([]string{"a"}))
+	})
+
+	It("and is lost again is succeeded by the endpoint that has received its last commits", func() {
+		// Guards against the loss of commits that it acknowledges in a short return.
+		f := returnWhile(func(f *fixture) { f.database.received["b"] = 60 })
+		Expect(f.database.requestedPromotions()).To(Equal([]string{"b"}))
+	})
+})
--- a/engine/failover/fakes_test.go
+++ b/engine/failover/fakes_test.go
@@ -154,8 +154,9 @@
 	// from before; nil if the last read is current.
 	intentsUnread bool
 	intentsRead   *store.Intents
-	// onRefreshFleet is called by RefreshFleet; may be nil.
+	// onRefreshFleet is called by RefreshFleet, and onGet before a key is read; may be nil.
 	onRefreshFleet func()
+	onGet          func(key string)
 }
 
 func (f *fakeStore) StoreReachable() bool { return true }
@@ -174,6 +175,9 @@
 }
 
 func (f *fakeStore) Get(_ context.Context, key string) (store.Item, bool, error) {
+	if f.onGet != nil {
+		f.onGet(key)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls = append(f.calls, "get "+key)
--- a/engine/failover/replace.go
+++ b/engine/failover/replace.go
@@ -7,18 +7,14 @@
 	"time"
 
 	"amaranthdock.dev/decision/evacuation"
-	"amaranthdock.dev/decision/logpos"
 	"amaranthdock.dev/decision/takeover"
 	"amaranthdock.dev/engine/catalog"
 	"amaranthdock.dev/engine/endpoint"
-	"amaranthdock.dev/engine/peer"
 	"amaranthdock.dev/engine/store"
 	"amaranthdock.dev/timer"
 )
 
 const (
-	// promoteCallTimeout bounds the wait for the response to a promotion request.
-	promoteCallTimeout = 800 * time.Millisecond
 	// maxTokenAttempts is the number of attempts to reserve a fencing token.
 	maxTokenAttempts = 3
 	// catchUpTimeout is how long a switchover waits for a replica that has received the whole
@@ -30,9 +26,6 @@
 	// pollInterval is the time between two status queries while waiting for a replica to
 	// catch up or for a promotion to take effect.
 	pollInterval = 40 * time.Millisecond
-	// promotionTimeout is how long to wait for a promotion to take effect, which takes up
-	// to a second.
-	promotionTimeout = 1600 * time.Millisecond
 )
 
 // replacePrimary promotes the responding endpoint that may succeed a lost primary. It promotes
@@ -40,12 +33,8 @@
 // commit.
 func (m *Manager) replacePrimary(ctx context.Context, name string, old catalog.Endpoint, cause string) {
 	statuses := m.successorStatuses(ctx, name, old)
-	candidates := m.candidatesOf(statuses, old)
-	replicas, syncReplicas := m.knownReplicas(name, old), m.syncReplicas(name)
-	chosen, ok := takeover.ChooseAfterLoss(candidates, replicas, syncReplicas)
+	chosen, ok := m.chooseAfterLoss(name, old, statuses, cause)
 	if !ok {
-		m.config.Log.Info("Too few endpoints responded to promote one safely.", "database", name, "cause", cause, "answered", len(candidates), "replicas", replicas,
-			"syncReplicas", syncReplicas)
 		return
 	}
 	m.promote(ctx, name, chosen, store.Intent{
@@ -57,6 +46,18 @@
 	})
 }
 
+// chooseAfterLoss returns the successor of a lost primary among the members that responded; false if too few did.
+func (m *Manager) chooseAfterLoss(name string, old catalog.Endpoint, statuses []memberStatus, cause string) (takeover.Candidate, bool) {
+	candidates := m.candidatesOf(statuses, old)
+	replicas, syncReplicas := m.knownReplicas(name, old), m.syncReplicas(name)
+	chosen, ok := takeover.ChooseAfterLoss(candidates, replicas, syncReplicas)
+	if !ok {
+		m.config.Log.Info("Too few endpoints responded to promote one safely.", "database", name, "cause", cause, "answered", len(candidates), "replicas", replicas,
+			"syncReplicas", syncReplicas)
+	}
+	return chosen, ok
+}
+
 // switchOver makes a draining or evacuated primary step down, so that it acknowledges no more commits,
 // waits until another endpoint has received its whole log, and promotes that one. If none has
 // within catchUpTimeout, takeover.ChooseAfterStepDown decides. It does nothing while no other
@@ -251,115 +252,6 @@
 	}
 }
 
-// promotePlanned promotes the successor of a primary that has stepped down. The intent is changed
-// with the fencing token, so that the next leader promotes no other endpoint beside it.
-func (m *Manager) promotePlanned(ctx context.Context, name string, chosen takeover.Candidate) {
-	stored, ok := m.storedIntent(name)
-	if !ok {
-		return
-	}
-	successor, ok := m.config.View.Endpoint(chosen.ID)
-	if !ok || isRestarted(successor.Key, stored.Primary) {
-		m.config.Log.Info("The successor of a primary is gone, or has restarted and lost its log.", "database", name, "endpoint", chosen.ID, "cause", stored.Cause)
-		m.endIntent(name)
-		return
-	}
-	intent := stored.Intent
-	intent.Step, intent.Successor = takeover.Promote, successor.Key
-	m.promote(ctx, name, chosen, intent)
-}
-
-// promote requests a promotion, announces it to the fleet, and waits until the endpoint is the primary.
-func (m *Manager) promote(ctx context.Context, name string, chosen takeover.Candidate, intent store.Intent) {
-	token, ok := m.beginPromotion(ctx, name, intent)
-	if !ok {
-		return
-	}
-	m.mu.Lock()
-	m.databaseState(name).promotionRequestedAt = m.config.Timer.SinceBoot()
-	m.mu.Unlock()
-	// The request may take effect before its response arrives.
-	m.broadcastPromotion(name, chosen.ID, false)
-	if !m.requestPromotion(ctx, name, intent, chosen.ReceivedPosition, token) {
-		m.broadcastPromotion(name, chosen.ID, false)
-	}
-	m.awaitPromotion(ctx, name, chosen.ID)
-}
-
-// beginPromotion writes the intent of a promotion and reserves its fencing token; false if the promotion
-// may not be requested.
-func (m *Manager) beginPromotion(ctx context.Context, name string, intent store.Intent) (uint64, bool) {
-	m.updateIntent(name, func(i *intentState) { intent.Contested = intent.Contested || i.isContested(intent.Successor.ID) })
-	token, err := m.nextFencingToken(ctx, name, intent)
-	if err != nil {
-		m.config.Log.Info("Could not reserve a fencing token for a promotion.", "database", name, "error", err.Error())
-		return 0, false
-	}
-	if !m.IsLeader() {
-		m.config.Log.Info("The failover lease expired before a promotion was requested.", "database", name)
-		return 0, false
-	}
-	return token, true
-}
-
-// requestPromotion requests the promotion of the successor of an intent. It reports whether the request was
-// answered. Otherwise it may take effect at any time later, as may earlier ones without a response.
-func (m *Manager) requestPromotion(ctx context.Context, name string, intent store.Intent, received logpos.Position, token uint64) bool {
-	m.promotionRequests.Inc(1)
-	child, cancel := timer.WithTimeout(ctx, m.config.Timer, promoteCallTimeout)
-	defer cancel()
-	err := m.config.Promoter.Promote(child, name, intent.Successor.ID, m.config.View.Self().Name, token)
-	m.config.Log.Info("Requested a promotion.", "database", name, "endpoint", intent.Successor.ID, "received", received.String(), "number", token,
-		"cause", intent.Cause, "contested", intent.Contested, "error", errorText(err))
-	if err != nil {
-		m.unansweredRequests.Inc(1)
-		return false
-	}
-	m.updateIntent(name, func(i *intentState) { i.unanswered = false })
-	return true
-}
-
-// awaitPromotion waits until the endpoint reports that it is the primary, and announces
-// that to the fleet.
-func (m *Manager) awaitPromotion(ctx context.Context, name, id string) {
-	deadline := m.config.Timer.Now().Add(promotionTimeout)
-	for m.config.Timer.Now().Before(deadline) {
-		target, ok := m.config.View.Endpoints().ByID[id]
-		if !ok {
-			return
-		}
-		report, err := m.config.Prober.RunControlCommand(ctx, target, endpoint.Status{})
-		if err == nil && report.Role == catalog.RolePrimary {
-			m.config.Log.Info("A promotion took effect.", "database", name, "endpoint", id, "term", report.Term)
-			m.broadcastPromotion(name, id, true)
-			m.completeIntent(name)
-			return
-		}
-		if err := timer.Sleep(ctx, m.config.Timer, pollInterval); err != nil {
-			return
-		}
-	}
-	m.config.Log.Info("A promotion did not take effect before the timeout.", "database", name, "endpoint", id)
-}
-
-// broadcastPromotion announces to all VMs that a promotion was requested or, with leads
-// set, that it took effect.
-func (m *Manager) broadcastPromotion(name, id string, leads bool) {
-	promotion := &peer.PromotionNotice{
-		Database: name,
-		Endpoint: id,
-		Leads:    leads,
-	}
-	m.ApplyPromotion(promotion)
-	for _, vm := range m.config.View.Peers() {
-		go func() {
-			if err := m.config.Clients.Call(context.Background(), vm, "Promoted", promotion, &peer.Empty{}, peerCallTimeout); err != nil {
-				m.config.Log.Info("Could not announce a promotion to a VM.", "peer", vm.Name, "database", name, "error", err.Error())
-			}
-		}()
-	}
-}
-
 // isEndpointError reports whether the endpoint itself replied with an error.
 func isEndpointError(err error) bool {
 	var replyError *endpoint.ReplyError
