--- a/decision/takeover/outstanding_test.go
+++ b/decision/takeover/outstanding_test.go
@@ -38,19 +38,14 @@
 }
 
 func newOutage() outage {
-	o := outage{
-		term:      3,
-		down:      none,
-		successor: none,
+	positions := initialPositions()
+	return outage{
+		term:         3,
+		down:         none,
+		successor:    none,
+		positions:    positions,
+		acknowledged: positions[0],
 	}
-	for i := range o.positions {
-		o.positions[i] = logpos.Position{
-			Term:  3,
-			Index: 1,
-		}
-	}
-	o.acknowledged = o.positions[0]
-	return o
 }
 
 // next returns the states that may follow.
@@ -147,16 +142,9 @@
 // reports returns the reports of the endpoints that run, except one that does not respond; none for all.
 func (o outage) reports(missing int) []takeover.Report {
 	var reports []takeover.Report
-	for i, id := range endpointIDs {
+	for i := range endpointIDs {
 		if i != missing && i != o.down {
-			reports = append(reports, takeover.Report{
-				Candidate: takeover.Candidate{
-					ID:               id,
-					ReceivedPosition: o.positions[i],
-				},
-				IsPrimary: o.primary == i,
-				Term:      uint64(o.term),
-			})
+			reports = append(reports, report(i, o.positions[i], o.primary, o.term))
 		}
 	}
 	return reports
--- a/decision/takeover/schedule_test.go
+++ b/decision/takeover/schedule_test.go
@@ -63,20 +63,39 @@
 }
 
 func newSchedule(syncReplicas int) schedule {
-	s := schedule{
+	positions := initialPositions()
+	return schedule{
 		syncReplicas: syncReplicas,
 		term:         3,
 		chosen:       none,
 		leader:       1,
+		positions:    positions,
+		acknowledged: positions[0],
 	}
-	for i := range s.positions {
-		s.positions[i] = logpos.Position{
+}
+
+// initialPositions are the ends of the logs at first.
+func initialPositions() [endpointCount]logpos.Position {
+	var positions [endpointCount]logpos.Position
+	for i := range positions {
+		positions[i] = logpos.Position{
 			Term:  3,
 			Index: 1,
 		}
 	}
-	s.acknowledged = s.positions[0]
-	return s
+	return positions
+}
+
+// report returns the report of an endpoint in a term with a primary.
+func report(i int, received logpos.Position, primary, term int) takeover.Report {
+	return takeover.Report{
+		Candidate: takeover.Candidate{
+			ID:               endpointIDs[i],
+			ReceivedPosition: received,
+		},
+		IsPrimary: primary == i,
+		Term:      uint64(term),
+	}
 }
 
 // next returns the states that may follow.
@@ -198,19 +217,13 @@
 // reports returns the reports of the endpoints except one that does not respond; none for all.
 func (s schedule) reports(missing int) []takeover.Report {
 	var reports []takeover.Report
-	for i, id := range endpointIDs {
+	for i := range endpointIDs {
 		if i == missing {
 			continue
 		}
-		reports = append(reports, takeover.Report{
-			Candidate: takeover.Candidate{
-				ID:               id,
-				ReceivedPosition: s.positions[i],
-			},
-			IsPrimary: s.primary == i,
-			Term:      uint64(s.term),
-			Restarted: s.restarted[i],
-		})
+		r := report(i, s.positions[i], s.primary, s.term)
+		r.Restarted = s.restarted[i]
+		reports = append(reports, r)
 	}
 	return reports
 }
