Leave a VM that is leaving out of the homes of a cold endpoint

Cause: a leaving VM is left out of the rankings of the other VMs, but not out of its own. Its callers' reads went to the cold endpoint through itself, with the whole allowance of a home. Two leaving VMs and the home that the rest of the fleet had chosen sent three allowances; the endpoint tolerates two.

Change: a leaving VM has no share in the budget. It refuses its callers' new statements at the cold endpoint as it does those of other VMs, so that they go on to the next home. Open transactions end as before.

Result: "has no home in a VM that is leaving" failed before and passes now.

--- a/engine/view/cold.go
+++ b/engine/view/cold.go
@@ -52,8 +52,12 @@
 
 // coldHomeShare returns the part of a home's allowance that this VM may use at a cold endpoint.
 // Only the first two VMs of the ranking can be its home. VMs that are cut off from many others
-// could otherwise all take themselves for the first one that is reachable.
+// could otherwise all take themselves for the first one that is reachable. A VM that is leaving
+// is none: the other VMs have left it out of their rankings, but its own still holds it.
 func (v *View) coldHomeShare(endpoint catalog.Endpoint) float64 {
+	if v.config.Leaving != nil && v.config.Leaving() {
+		return 0
+	}
 	ranked := v.rankedHomes(endpoint)
 	switch self := v.config.Self.Name; {
 	case ranked[0].Name == self && v.IsAvailable(ranked[0]):
--- a/engine/view/cold_test.go
+++ b/engine/view/cold_test.go
@@ -118,6 +118,20 @@
 		Expect(f.Coldness(cold).Share).To(BeZero())
 	})
 
+	It("has no home in a VM that is leaving", func() {
+		// Guards against several VMs that leave at the same time and each send the allowance of
+		// a home, beside the one that the rest of the fleet has chosen.
+		ranking(0)
+		Expect(f.Coldness(cold).Share).To(Equal(1.0))
+		f.leaving = true
+		Expect(f.Coldness(cold).Share).To(BeZero())
+		f.leaving = false
+		f.unreachable[ranking(1)[0]] = true
+		Expect(f.Coldness(cold).Share).To(Equal(slowstart.SecondHomeShare))
+		f.leaving = true
+		Expect(f.Coldness(cold).Share).To(BeZero())
+	})
+
 	It("is never taken over by the third VM of the ranking", func() {
 		// Guards against VMs that are cut off from the fleet and all take themselves for the
 		// home, so that the endpoint gets several times what it tolerates.
--- a/engine/view/view.go
+++ b/engine/view/view.go
@@ -26,6 +26,9 @@
 	Log     logr.Logger
 	// Unreachable reports whether a recent call to a VM failed to reach it.
 	Unreachable func(vm string) bool
+	// Leaving reports whether this VM is leaving the fleet; nil if it never does. SetLeaving
+	// records it for the other VMs.
+	Leaving func() bool
 	// DrainLimit is the time after which an endpoint that is draining may get no new statements;
 	// 0 for no limit.
 	DrainLimit time.Duration
--- a/engine/view/view_test.go
+++ b/engine/view/view_test.go
@@ -24,6 +24,7 @@
 	*view.View
 	clock       *timer.Manual
 	unreachable map[string]bool
+	leaving     bool
 }
 
 // evacuationLimit is the time after which an evacuated data centre may get no more requests.
@@ -44,6 +45,7 @@
 		Timer:       f.clock,
 		Log:         logr.Discard(),
 		Unreachable: func(name string) bool { return f.unreachable[name] },
+		Leaving:     func() bool { return f.leaving },
 		DrainLimit:  7 * time.Second,
 
 		EvacuationLimit: evacuationLimit,
--- a/engine/vm/vm.go
+++ b/engine/vm/vm.go
@@ -145,6 +145,7 @@
 		Timer:       config.Timer,
 		Log:         config.Log.WithName("view"),
 		Unreachable: v.clients.Unreachable,
+		Leaving:     v.leaving.Load,
 		DrainLimit:  config.DrainLimit,
 
 		EvacuationLimit: config.EvacuationLimit,
