Take the lock of the view once for a primary

Cause: Primary took the lock twice for each statement, and could see two states. A comment on Intent.Successor stated the opposite of the code.

Change: one lock, and the comment.

--- a/decision/takeover/intent.go
+++ b/decision/takeover/intent.go
@@ -22,7 +22,7 @@
 	Primary string
 	Term    uint64
 	Step    Step
-	// Successor is the ID of the endpoint to be promoted; empty before Promote and Request.
+	// Successor is the ID of the endpoint to be promoted; set for Promote and Request.
 	Successor string
 	// Contested is true if an earlier request, for another endpoint than Successor, may still take
 	// effect.
--- a/engine/view/primary.go
+++ b/engine/view/primary.go
@@ -26,21 +26,25 @@
 // there is none, or if a promotion that was requested may still take effect.
 func (v *View) Primary(name string) (catalog.Endpoint, bool) {
 	v.mu.Lock()
-	outstanding := v.config.Timer.Now().Before(v.database(name).promotionOutstandingUntil)
-	v.mu.Unlock()
-	if outstanding {
+	defer v.mu.Unlock()
+	if v.config.Timer.Now().Before(v.database(name).promotionOutstandingUntil) {
 		return catalog.Endpoint{}, false
 	}
-	return v.ReportedPrimary(name)
+	return v.reportedPrimary(name)
 }
 
 // ReportedPrimary returns the endpoint that this VM takes for the primary, also while a promotion with
 // synchronous replicas may take effect: the leader needs it to supersede that request. A primary that the
 // leader has announced comes first, then the one that proved the highest term.
 func (v *View) ReportedPrimary(name string) (catalog.Endpoint, bool) {
-	reported := v.endpoints.Load().ByID
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.reportedPrimary(name)
+}
+
+// reportedPrimary does the work of ReportedPrimary. The caller holds the lock.
+func (v *View) reportedPrimary(name string) (catalog.Endpoint, bool) {
+	reported := v.endpoints.Load().ByID
 	d := v.database(name)
 	if announced, ok := reported[d.announcedPrimary]; ok && announced.Database == name && v.config.Timer.Now().Before(d.announcedUntil) {
 		return announced, true
