Decide in one place whether a promotion may be requested

Cause: decision/takeover and engine/failover each stated when a promotion request may take effect while an intent is in the store. A comment on the stored intent's successor stated the opposite of the code, and leadsAfterPromotionTimeout made an announcement that its name does not tell.

Change: Intent.MayBeRequested, one conversion of the stored intent, and the announcement in its caller. Behaviour is the same.

--- a/decision/takeover/intent.go
+++ b/decision/takeover/intent.go
@@ -29,6 +29,9 @@
 	Contested bool
 }
 
+// MayBeRequested reports whether a promotion request may take effect while the intent is in the store.
+func (i Intent) MayBeRequested() bool { return i.Step != StepDown || i.Contested }
+
 // Report is the response of an endpoint to a status request.
 type Report struct {
 	Candidate
@@ -94,7 +97,7 @@
 // ChooseAfterStepDown allows. If the promotion of an endpoint may have been requested, it promotes no
 // other one: that request may take effect first, and the endpoint may then acknowledge commits.
 func (r Resumption) Decide() ResumeDecision {
-	mayBeRequested := r.Intent.Step != StepDown || r.Intent.Contested
+	mayBeRequested := r.Intent.MayBeRequested()
 	if r.Superseded || !mayBeRequested && r.isReplaced() {
 		return DiscardIntent{Primary: r.Leading()}
 	}
--- a/engine/failover/confirm.go
+++ b/engine/failover/confirm.go
@@ -43,6 +43,8 @@
 		return
 	}
 	if holdsWrites {
+		// The wait of the VMs began before the request and goes on from its response.
+		m.broadcastPromotion(name, "", false)
 		if !m.leadsAfterPromotionTimeout(ctx, name, stored, leading.ID) {
 			m.config.Log.Info("Another promotion took effect before it was superseded.", "database", name, "endpoint", leading.ID)
 			return
@@ -57,7 +59,6 @@
 // leadsAfterPromotionTimeout waits until a promotion that was accepted before has taken effect, and reports
 // whether an endpoint leads still.
 func (m *Manager) leadsAfterPromotionTimeout(ctx context.Context, name string, stored store.StoredIntent, id string) bool {
-	m.broadcastPromotion(name, "", false)
 	if err := timer.Sleep(ctx, m.config.Timer, promotionTimeout); err != nil {
 		return false
 	}
--- a/engine/failover/intent.go
+++ b/engine/failover/intent.go
@@ -97,7 +97,7 @@
 		d.intent = intentState{
 			stored:     &stored,
 			pending:    configured,
-			unanswered: configured && mayBeRequested(stored.Intent),
+			unanswered: configured && takeoverIntent(stored.Intent).MayBeRequested(),
 			discarded:  !configured,
 		}
 	}
@@ -215,9 +215,15 @@
 	return true
 }
 
-// mayBeRequested reports whether a promotion request may take effect while an intent is in the store.
-func mayBeRequested(intent store.Intent) bool {
-	return intent.Step != takeover.StepDown || intent.Contested
+// takeoverIntent returns what the decisions need of an intent.
+func takeoverIntent(intent store.Intent) takeover.Intent {
+	return takeover.Intent{
+		Primary:   intent.Primary.ID,
+		Term:      intent.Term,
+		Step:      intent.Step,
+		Successor: intent.Successor.ID,
+		Contested: intent.Contested,
+	}
 }
 
 // setIntent sets the intent that this leader has written. It is pending from now on.
@@ -230,7 +236,7 @@
 			Revision: revision,
 		},
 		pending:    true,
-		unanswered: mayBeRequested(intent),
+		unanswered: takeoverIntent(intent).MayBeRequested(),
 	}
 }
 
--- a/engine/failover/resume.go
+++ b/engine/failover/resume.go
@@ -18,13 +18,7 @@
 	}
 	primary := m.member(name, stored.Primary)
 	resumption := takeover.Resumption{
-		Intent: takeover.Intent{
-			Primary:   stored.Primary.ID,
-			Term:      stored.Term,
-			Step:      stored.Step,
-			Successor: stored.Successor.ID,
-			Contested: stored.Contested,
-		},
+		Intent:          takeoverIntent(stored.Intent),
 		Superseded:      stored.Superseded,
 		Reports:         m.reports(ctx, name, stored.Intent, primary),
 		KnownReplicas:   m.knownReplicas(name, primary),
--- a/engine/store/intent.go
+++ b/engine/store/intent.go
@@ -23,7 +23,7 @@
 	Primary catalog.EndpointKey
 	Term    uint64
 	Step    takeover.Step
-	// Successor is the process to be promoted; zero before takeover.Promote and takeover.Request.
+	// Successor is the process to be promoted; set for takeover.Promote and takeover.Request.
 	Successor catalog.EndpointKey
 	// Contested is true if an earlier request for another endpoint may still take effect.
 	Contested bool
